--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -1,6 +1,5 @@
 package io.sillreel;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Meter;
@@ -19,13 +18,17 @@
 import io.sillreel.ownership.Tenure;
 import io.sillreel.peer.PeerMessages;
 import io.sillreel.peer.PeerMessages.Hello;
+import io.sillreel.peer.Peers;
 import io.sillreel.settings.OperatorProperties;
 import io.sillreel.settings.Settings;
 import io.sillreel.settings.Settings.Member;
 import io.sillreel.statestore.Pacer;
 import io.sillreel.statestore.StateStore;
-import java.util.HashMap;
-import java.util.Map;
+import io.sillreel.workers.Report;
+import io.sillreel.workers.ReportRelay;
+import io.sillreel.workers.WorkerSpread;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -33,9 +36,6 @@
 public final class Controller implements Leadership.Listener, LiveCounts {
     private static final long HELLO_EVERY_MICROS = 1_000_000;
     private static final long HELLO_TIMEOUT_MICROS = 900_000;
-    private static final long RELAY_TIMEOUT_MICROS = 2_500_000;
-    /** A worker sent to the lease holder that comes back this soon can't reach it. */
-    private static final long RELAY_MICROS = 30_000_000;
     private static final long STORE_SILENCE_MICROS = 4_000_000;
     /** The parts of the shared rates that one of several controllers allows itself. */
     private static final double REQUEST_PART = 0.5;
@@ -53,11 +53,14 @@
     private final Leadership leadership;
     private final AdaptiveLimit users;
     private final Counter reports;
-    private final Counter relayed;
-    private final Map<String, Long> redirected = new HashMap<>();
-    private final Map<String, Hello> peers = new HashMap<>();
-    private final Map<String, Long> peersHeard = new HashMap<>();
+    private final Counter handed;
+    private final Counter moved;
+    private final ReportRelay relay;
+    private final Peers peers;
+    private final WorkerSpread spread;
     private final long startedMicros;
+    private int unanswered;
+    private int unansweredBefore;
     private Tenure tenure;
 
     public Controller(Loop loop, Caller caller, Settings settings, OperatorProperties operator,
@@ -80,7 +83,11 @@
         this.users = new AdaptiveLimit(new Admission(store, loop, settings, flavors::types, this),
                 operator.maxRequests());
         this.reports = metrics.counter("sillreel.reports");
-        this.relayed = metrics.counter("sillreel.reports.relayed");
+        this.handed = metrics.counter("sillreel.reports.handed");
+        this.moved = metrics.counter("sillreel.workers.moved");
+        this.relay = new ReportRelay(loop, caller);
+        this.peers = new Peers(loop);
+        this.spread = new WorkerSpread(loop, peers, settings.nodeName(), settings.workers().reportMicros());
     }
 
     public void start() {
@@ -107,11 +114,8 @@
     /** What the other controllers, and operators, ask. */
     public CompletableFuture<Reply> internalCall(Call call) {
         switch (call.route()) {
-            case PeerMessages.BEAT -> {
-                Tenure current = tenure;
-                Reply reply = current == null ? Reply.later(503, "not the lease holder", 1)
-                        : current.answer(Json.parse(PeerMessages.report(call.body())));
-                return answer(new Reply(200, PeerMessages.answer(reply), 0));
+            case PeerMessages.BEATS -> {
+                return answer(beats(call));
             }
             case PeerMessages.HELLO -> {
                 heard(Hello.of(call.body()));
@@ -136,8 +140,7 @@
      */
     private Reply up() {
         boolean silent = !storeAnswers();
-        boolean othersAnswered = peers.entrySet().stream().anyMatch(peer -> peer.getValue().storeAnswers()
-                && loop.nowMicros() - peersHeard.get(peer.getKey()) < 3 * HELLO_EVERY_MICROS);
+        boolean othersAnswered = peers.storeAnswersAnother();
         boolean undecided = flavors.types().isEmpty();
         if (silent && othersAnswered || undecided && othersAnswered) {
             return Reply.later(503, "the state service can't be asked from here", 1);
@@ -149,43 +152,77 @@
         return loop.nowMicros() - Math.max(store.lastAnswerMicros(), startedMicros) < STORE_SILENCE_MICROS;
     }
 
+    /** A worker's report: decided here, handed on to the lease holder, or sent to where it can be. */
     private CompletableFuture<Reply> beat(Call call) {
         reports.increment();
-        JsonNode body = Json.parse(call.body());
+        Report report = Report.read(call.body());
+        if (report == null) {
+            return answer(Reply.refusal(400, "hopper: is missing"));
+        }
         Tenure current = tenure;
+        Optional<Member> leader = current != null ? Optional.empty() : leader();
+        if (current == null && leader.isEmpty()) {
+            unanswered++;
+            return answer(Reply.later(503, "nobody holds the lease", 1));
+        }
+        spread.seen(report.machine());
+        String elsewhere = spread.moveTo(report.machine());
+        if (elsewhere == null && current == null && !relay.works(leader.get().address())
+                && !spread.sentOnLately(report.machine())) {
+            elsewhere = leader.get().nodeName();
+        }
+        if (elsewhere != null) {
+            moved.increment();
+            spread.sentOn(report.machine());
+            return answer(elsewhere(elsewhere));
+        }
         if (current != null) {
-            return answer(current.answer(body));
+            return answer(current.answer(report));
         }
-        Leadership.Leader leader = leadership.known();
-        Optional<Member> member = leader.node() == null ? Optional.empty() : settings.member(leader.node());
-        if (member.isEmpty()) {
-            return answer(Reply.later(503, "nobody holds the lease", 1));
+        return relay.pass(report, leader.get().address()).thenApply(reply -> {
+            if (!reply.ok()) {
+                unanswered++;
+            }
+            return reply;
+        });
+    }
+
+    private Optional<Member> leader() {
+        String node = leadership.known().node();
+        return node == null ? Optional.empty() : settings.member(node);
+    }
+
+    /** Reports that another controller hands on. */
+    private Reply beats(Call call) {
+        Tenure current = tenure;
+        if (current == null) {
+            return Reply.later(503, "not the lease holder", 1);
         }
-        String machine = body.path("hopper").asText();
-        Long before = redirected.get(machine);
-        if (before == null || loop.nowMicros() - before > RELAY_MICROS) {
-            redirected.put(machine, loop.nowMicros());
-            return answer(elsewhere(leader.node()));
+        List<Reply> replies = new ArrayList<>();
+        for (Report report : PeerMessages.reports(call.body())) {
+            handed.increment();
+            replies.add(current.answer(report));
         }
-        relayed.increment();
-        return caller.call(member.get().address(), PeerMessages.beat(call.body()), RELAY_TIMEOUT_MICROS)
-                .thenApply(reply -> {
-                    Reply handed = reply.ok() ? PeerMessages.answer(reply.body()) : Reply.noAnswer();
-                    if (handed.status() > 0) {
-                        redirected.put(machine, loop.nowMicros());
-                        return handed;
-                    }
-                    return Reply.later(503, "the lease holder can't be reached", 1);
-                });
+        return new Reply(200, PeerMessages.answers(replies), 0);
     }
 
-    private static Reply elsewhere(String leader) {
-        return Reply.of(421, Json.object().put("foreman", leader));
+    private static Reply elsewhere(String node) {
+        return Reply.of(421, Json.object().put("foreman", node));
+    }
+
+    /** True if workers that report here have their reports answered. */
+    private boolean serves() {
+        return tenure != null || leader().map(member -> relay.works(member.address())).orElse(false);
     }
 
     private void hello() {
         loop.after(HELLO_EVERY_MICROS, this::hello);
-        redirected.values().removeIf(at -> loop.nowMicros() - at > 2 * RELAY_MICROS);
+        spread.review(leadership.known().node());
+        unansweredBefore = unanswered;
+        unanswered = 0;
+        if (tenure != null) {
+            tenure.review();
+        }
         for (Member member : settings.members()) {
             Call call = new Call("POST", PeerMessages.HELLO, ownHello().bytes());
             caller.call(member.address(), call, HELLO_TIMEOUT_MICROS).thenAccept(reply -> {
@@ -198,12 +235,12 @@
 
     private Hello ownHello() {
         Leadership.Leader leader = leadership.known();
-        return new Hello(settings.nodeName(), leader.node(), leader.term(), storeAnswers());
+        return new Hello(settings.nodeName(), leader.node(), leader.term(), storeAnswers(), spread.workers(), serves(),
+                unanswered + unansweredBefore);
     }
 
     private void heard(Hello hello) {
-        peers.put(hello.node(), hello);
-        peersHeard.put(hello.node(), loop.nowMicros());
+        peers.heard(hello);
         if (hello.term() > 0) {
             leadership.heard(hello.leader(), hello.term());
         }
@@ -212,7 +249,7 @@
     @Override
     public void took(long term, long leaderStamp) {
         tenure = new Tenure(loop, store, cloud, caller, settings, operator, leadership, term, leaderStamp,
-                flavors::types);
+                flavors::types, peers);
         tenure.start();
     }
 
@@ -232,6 +269,8 @@
 
     private ObjectNode metrics() {
         ObjectNode all = Json.object().put("sillreel.leads", leadership.heldTerm())
+                .put("sillreel.workers", spread.workers())
+                .put("sillreel.reports.passed", relay.passed()).put("sillreel.reports.lost", relay.lost())
                 .put("sillreel.requests.limit", users.limit()).put("sillreel.requests.refused", users.refused());
         for (Meter meter : metrics.getMeters()) {
             meter.measure().forEach(measurement -> all.put(meter.getId().getName(), measurement.getValue()));
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -28,6 +28,9 @@
 public final class Main implements Callable<Integer> {
     private static final int BAD_SETTINGS = 2;
     private static final int CONNECTIONS_PER_ADDRESS = 24;
+    /** What a batch of the longest reports may take. */
+    private static final int MAX_BATCH_BYTES = 8 * 1024 * 1024;
+    private static final int CONNECTIONS_INSIDE = 100;
 
     @Option(names = "--config", paramLabel = "FILE", description = "The platform's settings (TOML).")
     private Path config;
@@ -94,9 +97,10 @@
         HttpClient client = new HttpClient(group.next(), CONNECTIONS_PER_ADDRESS);
         Controller controller = new Controller(loop, client, settings, operator, new SimpleMeterRegistry());
         int connections = (int) (settings.resources().maxSockets() * 0.7);
-        HttpServer server = new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections);
-        server.listen(settings.publicAddress(), controller::publicCall);
-        server.listen(settings.internalAddress(), controller::internalCall);
+        new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections)
+                .listen(settings.publicAddress(), controller::publicCall);
+        new HttpServer(group, MAX_BATCH_BYTES, CONNECTIONS_INSIDE)
+                .listen(settings.internalAddress(), controller::internalCall);
         loop.execute(controller::start);
         return group;
     }
--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -32,7 +32,10 @@
     private static final long HIRE_RETRY_MICROS = 2_000_000;
     private static final long LEAST_BOOT_PATIENCE_MICROS = 75_000_000;
     private static final int BOOT_PATIENCE_FACTOR = 3;
-    private static final int HIRES_AT_ONCE = 3;
+    private static final int HIRES_AT_ONCE = 6;
+    private static final int MOST_RETURNED = 100;
+    private static final long LEAST_UNHEARD_MICROS = 8_000_000;
+    private static final int MOST_UNHEARD_PART = 4;
 
     private final Loop loop;
     private final long term;
@@ -49,6 +52,7 @@
     private final Map<String, Hire> hires = new LinkedHashMap<>();
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Long> strangers = new HashMap<>();
+    private final long begunMicros;
     private long names;
     private long listedMicros = Long.MIN_VALUE / 2;
     private boolean listing;
@@ -68,15 +72,19 @@
         this.types = types;
         this.mayAct = mayAct;
         this.clear = clear;
+        this.begunMicros = loop.nowMicros();
     }
 
     /** Takes over a stored hire; its machines may run tasks of an earlier holder until the bound. */
     public void inherit(Hire hire, long aliveUntilMicros) {
         hires.put(hire.name(), hire);
         for (String name : hire.machines()) {
-            Machine machine = enter(name, hire, loop.nowMicros());
-            if (machine != null) {
+            MachineType type = types.get().get(hire.build());
+            if (type != null && cluster.machine(name) == null) {
+                Machine machine = new Machine(name, type, hire.yard(), hire.spot(), hire, loop.nowMicros(),
+                        cluster.book());
                 machine.aliveUntil(aliveUntilMicros);
+                cluster.addInherited(machine);
             }
         }
     }
@@ -85,6 +93,13 @@
         return gone.contains(machine);
     }
 
+    /** A machine has reported: it is stored as up before it may be given tasks. */
+    public void cameUp(Machine machine) {
+        if (machine.hire().cameUp(machine.name())) {
+            writer.enqueue(machine.hire());
+        }
+    }
+
     /** A machine that no known hire brought: used from now on, once it is stored. */
     public Machine adopt(String name, String build, String yard, boolean spot) {
         MachineType type = types.get().get(build);
@@ -105,7 +120,8 @@
         if (type == null || cluster.machine(name) != null) {
             return cluster.machine(name);
         }
-        Machine machine = new Machine(name, type, hire.yard(), hire.spot(), hire, hiredMicros);
+        Machine machine = new Machine(name, type, hire.yard(), hire.spot(), hire, hiredMicros,
+                cluster.book());
         cluster.add(machine);
         strangers.remove(name);
         return machine;
@@ -137,16 +153,35 @@
             } else if (machine.state() == Machine.State.UP) {
                 if (machine.leaseBoundMicros() < now && sinceReport > 2 * settings.workers().leaseMicros()) {
                     leave(machine, "it is silent");
-                } else if (machine.recalled() && machine.seats().isEmpty()) {
+                } else if (machine.recalled() && machine.empty()) {
                     leave(machine, "the cloud takes it back");
                 }
             }
         }
+        retireUnheard(now);
         for (Machine machine : capacity.surplus(operator.idleMicros(), now, loop.wallMicros())) {
             leave(machine, "it has no work");
         }
     }
 
+    /**
+     * Most machines report within seconds of a takeover. The few that don't would hold up every job of an earlier term for
+     * as long as their leases might last; once the cloud has taken them back, it is certain that nothing runs there.
+     */
+    private void retireUnheard(long now) {
+        long patience = Math.max(LEAST_UNHEARD_MICROS, 2 * settings.workers().reportMicros() + 4_000_000);
+        if (now - begunMicros < patience || cluster.unheard().isEmpty()
+                || cluster.unheard().size() > cluster.machines().size() / MOST_UNHEARD_PART) {
+            return;
+        }
+        for (Machine machine : cluster.unheard()) {
+            if (machine.lastReportMicros() < 0 && !machine.condemned()) {
+                leave(machine, "it has not been heard since the term began");
+                machine.condemn("unheard");
+            }
+        }
+    }
+
     private static void leave(Machine machine, String reason) {
         LOG.info("machine {} ({}, {}{}) is to be returned: {}", machine.name(), machine.type().name(), machine.yard(),
                 machine.spot() ? ", spot" : "", reason);
@@ -159,7 +194,7 @@
         synchronized (cluster) {
             for (Machine machine : cluster.machines()) {
                 boolean leaving = machine.state() == Machine.State.LEAVING || machine.state() == Machine.State.RETURNING;
-                if (leaving && machine.seats().isEmpty() && empty.size() < 50) {
+                if (leaving && (machine.condemned() || machine.empty()) && empty.size() < MOST_RETURNED) {
                     empty.add(machine);
                 }
             }
--- a/src/main/java/io/sillreel/fleet/Hire.java
+++ b/src/main/java/io/sillreel/fleet/Hire.java
@@ -25,6 +25,7 @@
     private final Set<String> machines = new LinkedHashSet<>();
     private final Set<String> storedMachines = new LinkedHashSet<>();
     private final Set<String> sentMachines = new LinkedHashSet<>();
+    private final Set<String> up = new LinkedHashSet<>();
     private Runnable onStored = () -> { };
     private long stamp;
     private boolean answered;
@@ -48,7 +49,12 @@
         hire.answered = value.has("machines");
         hire.maybeExecuted = true;
         value.path("machines").forEach(machine -> hire.machines.add(machine.asText()));
-        hire.storedMachines.addAll(hire.machines);
+        if (value.has("up")) {
+            value.path("up").forEach(machine -> hire.up.add(machine.asText()));
+        } else {
+            hire.up.addAll(hire.machines);
+        }
+        hire.storedMachines.addAll(hire.up);
         return hire;
     }
 
@@ -76,11 +82,19 @@
         return machines;
     }
 
-    /** True once the machine stands in the stored hire, so that a successor knows to look there. */
-    public boolean isStored(String machine) {
+    /**
+     * True once the machine stands as up in the stored hire, so that a successor knows to look there. Machines that have
+     * not reported yet don't, so that those that boot or never come up hold up no takeover.
+     */
+    public boolean mayHold(String machine) {
         return storedMachines.contains(machine);
     }
 
+    /** The machine has reported; true if that is yet to be stored. */
+    public boolean cameUp(String machine) {
+        return machines.contains(machine) && up.add(machine);
+    }
+
     /** True once the cloud has said which machines it rented. */
     public boolean answered() {
         return answered;
@@ -93,6 +107,7 @@
 
     public void gone(String machine) {
         machines.remove(machine);
+        up.remove(machine);
         dropped = answered && machines.isEmpty();
     }
 
@@ -139,7 +154,7 @@
     public Map<String, JsonNode> changes() {
         Map<String, JsonNode> changes = new HashMap<>();
         sentMachines.clear();
-        sentMachines.addAll(machines);
+        sentMachines.addAll(up);
         changes.put(key(), dropped ? null : json());
         return changes;
     }
@@ -150,6 +165,9 @@
             ArrayNode names = Json.array();
             machines.forEach(names::add);
             value.set("machines", names);
+            ArrayNode reporting = Json.array();
+            up.forEach(reporting::add);
+            value.set("up", reporting);
         }
         return value;
     }
--- a/src/main/java/io/sillreel/fleet/Machine.java
+++ b/src/main/java/io/sillreel/fleet/Machine.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 
 /** A machine of the fleet and what is known of it. */
 public final class Machine {
@@ -21,6 +20,11 @@
     /** A task that takes so many times what is expected of it hints at a slow machine, or at a wrong estimate. */
     public static final double SLOW_RATIO = 2.5;
     private static final double EPSILON = 1e-6;
+    /** So many answers in a row without effect are no accident. */
+    private static final int DEAF_AFTER = 5;
+    private static final int STALE_BEFORE_ASKING = 3;
+    /** A machine that is silent for so long may have lost answers with its reports. */
+    private static final long GAP_MICROS = 5_000_000;
 
     private final String name;
     private final MachineType type;
@@ -28,6 +32,7 @@
     private final boolean spot;
     private final Hire hire;
     private final long hiredMicros;
+    private final SeatBook book;
     private final Map<String, Seat> seats = new LinkedHashMap<>();
     private final Set<String> images = new LinkedHashSet<>();
     private final Set<String> blamedBy = new HashSet<>();
@@ -45,10 +50,23 @@
     private long recallAtMicros = -1;
     private long idleSinceMicros;
     private long firstListedMicros = -1;
+    private int answered;
+    private long directMicros = Long.MIN_VALUE;
+    private long staleShift;
+    private long staleTally;
+    private int staleCount;
+    private int unheeded;
+    private boolean condemned;
     private boolean suspect;
     private String leavingReason;
-
-    public Machine(String name, MachineType type, String yard, boolean spot, Hire hire, long hiredMicros) {
+    private boolean counted;
+    private double usedCpus;
+    private double usedRamGb;
+    private double usedCards;
+    private int liveCount;
+
+    public Machine(String name, MachineType type, String yard, boolean spot, Hire hire, long hiredMicros,
+            SeatBook book) {
         this.name = name;
         this.type = type;
         this.yard = yard;
@@ -56,6 +74,11 @@
         this.hire = hire;
         this.hiredMicros = hiredMicros;
         this.idleSinceMicros = hiredMicros;
+        this.book = book;
+    }
+
+    SeatBook book() {
+        return book;
     }
 
     public String name() {
@@ -115,14 +138,21 @@
 
     /**
      * Takes the report's numbers; false if a newer message was seen already, or if the session that it tells of is over:
-     * a report held back by the network shows tasks that have died since.
+     * a report held back by the network, or a copy of one, shows tasks that have died since.
      */
-    public boolean advance(Report report, long nowMicros) {
+    public boolean advance(Report report, boolean direct, long nowMicros) {
         if (!report.newerThan(shift, tally) || report.shift() <= endedShift) {
             return false;
         }
+        if (shift > 0 && report.shift() > shift && answered >= DEAF_AFTER) {
+            // Its lease ran out though it was answered all along.
+            unheeded = DEAF_AFTER;
+        }
+        answered = nowMicros - lastReportMicros < GAP_MICROS ? answered : 0;
         shift = report.shift();
         tally = report.tally();
+        directMicros = direct ? nowMicros : Long.MIN_VALUE;
+        staleCount = 0;
         lastReportMicros = nowMicros;
         address(report.address());
         recallAtMicros = report.recallMicros() < 0 ? -1 : nowMicros + report.recallMicros();
@@ -134,6 +164,74 @@
         return true;
     }
 
+    /** True if this is the report that the answer to a direct command has just overtaken: the worker waits for its answer. */
+    public boolean overtaken(Report report, long withinMicros, long nowMicros) {
+        return report.shift() == shift && report.tally() == tally - 1 && shift > endedShift
+                && directMicros != Long.MIN_VALUE && nowMicros - directMicros < withinMicros;
+    }
+
+    /**
+     * Counts reports that are older than what was seen; true once several have come whose numbers rise: copies of old
+     * ones do that too, but so does a machine that is back and counts anew.
+     */
+    public boolean countsAnew(Report report) {
+        if (staleCount == 0 || report.newerThan(staleShift, staleTally)) {
+            staleShift = report.shift();
+            staleTally = report.tally();
+            staleCount++;
+        }
+        if (staleCount < STALE_BEFORE_ASKING) {
+            return false;
+        }
+        staleCount = 0;
+        return true;
+    }
+
+    /** The machine itself has just said, when asked, that it counts lower than before: it is a new life of it. */
+    public void reborn() {
+        shift = 0;
+        tally = 0;
+        endedShift = 0;
+        unheeded = 0;
+    }
+
+    // --- Whether it hears what it is told ---------------------------------------------------------------------------
+
+    /** A report has shown that an earlier answer was obeyed. */
+    public void heeded() {
+        unheeded = 0;
+    }
+
+    /** A report has shown that the answer to the one before was not obeyed, or not even heard. */
+    public void unheeded() {
+        unheeded++;
+    }
+
+    /** It is answered 200, which keeps its tasks alive if it hears that. */
+    public void answered(long boundMicros) {
+        answered++;
+        aliveUntil(boundMicros);
+    }
+
+    public int unheededCount() {
+        return unheeded;
+    }
+
+    /** True once several answers in a row have shown no effect: its reports arrive, but it hears nothing. */
+    public boolean deaf() {
+        return unheeded >= DEAF_AFTER;
+    }
+
+    /** Goes back to the cloud whatever is on it: nothing else can make an end of that. */
+    public void condemn(String reason) {
+        leave(reason);
+        condemned = true;
+    }
+
+    public boolean condemned() {
+        return condemned;
+    }
+
     public long upMicros() {
         return upMicros;
     }
@@ -156,6 +254,11 @@
         leaseBoundMicros = Math.max(leaseBoundMicros, boundMicros);
     }
 
+    /** True if an earlier holder may have launched tasks here: only on machines that are stored as up. */
+    public boolean mayHoldEarlier() {
+        return hire.mayHold(name);
+    }
+
     /** When the cloud takes the machine back, or -1. */
     public long recallAtMicros() {
         return recallAtMicros;
@@ -165,10 +268,25 @@
         return recallAtMicros >= 0;
     }
 
-    public long idleSinceMicros() {
+    /** Since when nothing has run here, as far as was looked. */
+    public long idleSinceMicros(long nowMicros) {
+        if (liveCount() > 0) {
+            idleSinceMicros = nowMicros;
+        }
         return idleSinceMicros;
     }
 
+    /** True if nothing is on it that would be lost with it: no live task, and no result that only it knows. */
+    public boolean empty() {
+        for (Seat seat : seats.values()) {
+            if (!seat.ended() || seat.job() != null && !seat.job().withdrawn() && seat.job().isDone(seat.index())
+                    && !seat.job().isStored(seat.index())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     public long firstListedMicros() {
         return firstListedMicros;
     }
@@ -242,22 +360,22 @@
 
     public void add(Seat seat) {
         seats.put(key(seat.uid(), seat.index(), seat.attempt()), seat);
+        changed();
+        seat.placed(this);
         if (seat.job() != null) {
             fetch(seat.job().spec());
         }
     }
 
-    public void remove(Seat seat, long nowMicros) {
+    public void remove(Seat seat) {
         seats.remove(key(seat.uid(), seat.index(), seat.attempt()));
-        if (seats.isEmpty()) {
-            idleSinceMicros = nowMicros;
-        }
+        changed();
     }
 
-    public List<Seat> clearSeats(long nowMicros) {
+    public List<Seat> clearSeats() {
         List<Seat> gone = new ArrayList<>(seats.values());
         seats.clear();
-        idleSinceMicros = nowMicros;
+        changed();
         return gone;
     }
 
@@ -281,15 +399,61 @@
     }
 
     public double freeCpus() {
-        return type.cpus() - used(JobSpec::cpus);
+        return type.cpus() - usedCpus();
     }
 
     public double freeRamGb() {
-        return type.ramGb() - used(JobSpec::ramGb);
+        count();
+        return type.ramGb() - usedRamGb;
     }
 
     public double freeCards() {
-        return type.cards() - used(JobSpec::cards);
+        count();
+        return type.cards() - usedCards;
+    }
+
+    /** Processors that live tasks take here, or more than there are where that isn't known. */
+    public double usedCpus() {
+        count();
+        return usedCpus;
+    }
+
+    /** Live tasks that have a place here. */
+    public int liveCount() {
+        count();
+        return liveCount;
+    }
+
+    /** A task came, ended or went: what they take is counted again when it is next asked for. */
+    void changed() {
+        counted = false;
+    }
+
+    private void count() {
+        if (counted) {
+            return;
+        }
+        counted = true;
+        usedCpus = 0;
+        usedRamGb = 0;
+        usedCards = 0;
+        liveCount = 0;
+        for (Seat seat : seats.values()) {
+            if (seat.ended()) {
+                continue;
+            }
+            liveCount++;
+            if (seat.job() == null) {
+                // What it takes isn't known here, so it counts as everything.
+                usedCpus = Double.MAX_VALUE;
+                usedRamGb = Double.MAX_VALUE;
+                usedCards = Double.MAX_VALUE;
+                return;
+            }
+            usedCpus += seat.job().spec().cpus();
+            usedRamGb += seat.job().spec().ramGb();
+            usedCards += seat.job().spec().cards();
+        }
     }
 
     /** How many more tasks of the job fit beside those that are here. */
@@ -304,17 +468,4 @@
     private static int fits(double free, double each) {
         return each <= 0 ? Integer.MAX_VALUE : (int) Math.floor(free / each + EPSILON);
     }
-
-    private double used(ToDoubleFunction<JobSpec> amount) {
-        double sum = 0;
-        for (Seat seat : seats.values()) {
-            if (!seat.ended() && seat.job() != null) {
-                sum += amount.applyAsDouble(seat.job().spec());
-            } else if (!seat.ended()) {
-                // What it takes isn't known here, so it counts as everything.
-                return Double.MAX_VALUE;
-            }
-        }
-        return sum;
-    }
 }
--- a/src/main/java/io/sillreel/fleet/Seat.java
+++ b/src/main/java/io/sillreel/fleet/Seat.java
@@ -11,12 +11,14 @@
     private final long attempt;
     private final long launchTally;
     private final long sinceMicros;
+    private Machine machine;
     private Stage stage;
     private long runningSinceMicros = -1;
     private boolean holding;
     private boolean halting;
     private long haltWindDownMicros;
     private long haltedMicros;
+    private long reapTally;
 
     private Seat(ActiveJob job, String uid, int index, long attempt, long launchTally, Stage stage, long nowMicros) {
         this.job = job;
@@ -30,27 +32,28 @@
 
     /** A launch that rides the response to the report with the given tally. */
     public static Seat launched(ActiveJob job, int index, long attempt, long launchTally, long nowMicros) {
-        Seat seat = new Seat(job, job.uid(), index, attempt, launchTally, null, nowMicros);
-        seat.hold();
-        return seat;
+        return new Seat(job, job.uid(), index, attempt, launchTally, null, nowMicros);
     }
 
     /** A task found in a report, alive or not. The job is null if it isn't driven any more. */
     public static Seat found(ActiveJob job, String uid, int index, long attempt, Stage stage, long nowMicros) {
-        Seat seat = new Seat(job, uid, index, attempt, 0, stage, nowMicros);
-        if (stage != Stage.ENDED) {
-            seat.hold();
-        }
-        return seat;
+        return new Seat(job, uid, index, attempt, 0, stage, nowMicros);
     }
 
-    private void hold() {
-        if (job != null) {
+    /** The machine takes the task in: from now on a live one holds its piece. */
+    void placed(Machine on) {
+        machine = on;
+        if (job != null && !ended()) {
             job.seat(index);
+            on.book().placed(this);
             holding = true;
         }
     }
 
+    public Machine machine() {
+        return machine;
+    }
+
     /**
      * The task is certainly not alive. Only a seat that held its piece frees it: an ended task found after a takeover
      * must not free a piece that by then runs elsewhere.
@@ -58,8 +61,10 @@
     public void release() {
         if (holding) {
             job.unseat(index);
+            machine.book().gone(this);
             holding = false;
         }
+        machine.changed();
     }
 
     public ActiveJob job() {
@@ -100,6 +105,9 @@
             runningSinceMicros = nowMicros;
         }
         stage = newStage;
+        if (ended()) {
+            machine.changed();
+        }
     }
 
     /** When the task was first seen running, or -1. */
@@ -119,6 +127,18 @@
         haltWindDownMicros = windDownMicros;
     }
 
+    /** The machine is told, in the answer to the report with the given tally, to forget the ended task. */
+    public void reapOrdered(long tally) {
+        if (reapTally == 0) {
+            reapTally = tally;
+        }
+    }
+
+    /** The report whose answer first said so, or 0. */
+    public long reapTally() {
+        return reapTally;
+    }
+
     public boolean halting() {
         return halting;
     }
--- /dev/null
+++ b/src/main/java/io/sillreel/fleet/TeamUse.java
@@ -0,0 +1,69 @@
+package io.sillreel.fleet;
+
+import io.sillreel.pipeline.JobSpec;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What each team's live tasks take, in thousandths; kept as tasks come and go, so that nobody has to add it up. */
+public final class TeamUse {
+    private static final long MILLI = 1_000;
+
+    /** Processors and cards. */
+    public static final class Amount {
+        private long cpus;
+        private long cards;
+
+        private Amount() {
+        }
+
+        private Amount(Amount other) {
+            cpus = other.cpus;
+            cards = other.cards;
+        }
+
+        public long cpus() {
+            return cpus;
+        }
+
+        public long cards() {
+            return cards;
+        }
+
+        /** Adds at most so much of another amount. */
+        private void addUpTo(Amount other, double mostCpus, double mostCards) {
+            cpus += Math.min(other.cpus, milli(mostCpus));
+            cards += Math.min(other.cards, milli(mostCards));
+        }
+    }
+
+    private static final Amount NOTHING = new Amount();
+    private final Map<String, Amount> teams = new HashMap<>();
+
+    /** The tasks' amounts are added, or taken off if there are fewer than none. */
+    public void take(JobSpec spec, int tasks) {
+        Amount amount = teams.computeIfAbsent(spec.crew(), team -> new Amount());
+        amount.cpus += tasks * milli(spec.cpus());
+        amount.cards += tasks * milli(spec.cards());
+    }
+
+    public Amount of(String team) {
+        return teams.getOrDefault(team, NOTHING);
+    }
+
+    public TeamUse copy() {
+        TeamUse copy = new TeamUse();
+        teams.forEach((team, amount) -> copy.teams.put(team, new Amount(amount)));
+        return copy;
+    }
+
+    /** Adds what the hidden tasks of each team may take, as far as it fits into the given room. */
+    public void addHidden(TeamUse hidden, double mostCpus, double mostCards) {
+        hidden.teams.forEach((team, most) ->
+                teams.computeIfAbsent(team, name -> new Amount()).addUpTo(most, mostCpus, mostCards));
+    }
+
+    /** Rounded up, so that limits hold. */
+    public static long milli(double amount) {
+        return (long) Math.ceil(amount * MILLI - 1e-6);
+    }
+}
--- a/src/main/java/io/sillreel/http/Json.java
+++ b/src/main/java/io/sillreel/http/Json.java
@@ -1,5 +1,6 @@
 package io.sillreel.http;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -18,6 +19,11 @@
     private Json() {
     }
 
+    /** The body as a stream of tokens, for what is read too often to be made a tree of. */
+    public static JsonParser parser(byte[] body) throws IOException {
+        return MAPPER.getFactory().createParser(body);
+    }
+
     public static ObjectNode object() {
         return MAPPER.createObjectNode();
     }
--- a/src/main/java/io/sillreel/ownership/Leadership.java
+++ b/src/main/java/io/sillreel/ownership/Leadership.java
@@ -31,7 +31,7 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
-    private static final long WATCH_MICROS = 4_000_000;
+    private static final long WATCH_MICROS = 2_000_000;
     private static final long RETRY_MICROS = 300_000;
     /** Steady clocks drift apart by up to 0.05%; twice that, and the wait of a late timer. */
     private static final long DRIFT_DIVISOR = 1_000;
@@ -48,6 +48,7 @@
     private long heldTerm;
     private long proofMicros;
     private boolean renewing;
+    private long notBeforeMicros = Long.MIN_VALUE;
 
     public Leadership(StateStore store, Loop loop, String node, long leaseMicros, Listener listener) {
         this.store = store;
@@ -103,6 +104,11 @@
         }
     }
 
+    /** Does not try to take the lease for so long, so that another controller can. */
+    public synchronized void standBack(long forMicros) {
+        notBeforeMicros = loop.nowMicros() + forMicros;
+    }
+
     private void look() {
         store.list(LEADER_KEY).thenAccept(listing -> {
             if (listing.outcome() != Outcome.OK) {
@@ -145,6 +151,8 @@
             }
             if (vacant) {
                 acquire(0, news.ledger());
+            } else if (known().node() == null && heldTerm() == 0) {
+                look();
             } else {
                 watch(news.ledger());
             }
@@ -167,6 +175,10 @@
 
     private void acquire(long leaderStamp, long ledger) {
         long sent = loop.nowMicros();
+        if (sent < notBeforeMicros) {
+            watch(ledger);
+            return;
+        }
         store.grant(leaseMicros).thenAccept(grant -> {
             if (grant.outcome() != Outcome.OK) {
                 loop.after(RETRY_MICROS, this::look);
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -15,6 +15,7 @@
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.RetrySchedule;
+import io.sillreel.peer.Peers;
 import io.sillreel.pipeline.RunRecord;
 import io.sillreel.placement.CapacityPlanner;
 import io.sillreel.placement.Cluster;
@@ -53,7 +54,10 @@
     private static final String PLANS = "plan/";
     private static final String WITHDRAWALS = "withdraw/";
     private static final long TICK_MICROS = 100_000;
-    private static final long PLAN_AT_LEAST_MICROS = 500_000;
+    private static final long PLAN_AT_LEAST_MICROS = 2_000_000;
+    private static final long PLAN_EVERY_MICROS = 200_000;
+    private static final long PLAN_REST_FACTOR = 8;
+    private static final int MOST_PUSHES = 6;
     private static final long STATUS_MICROS = 10_000_000;
     private static final long FLEET_MICROS = 1_000_000;
     private static final long RETRY_MICROS = 300_000;
@@ -63,6 +67,10 @@
     private static final long WITHDRAW_STALE_MICROS = 4_000_000;
     private static final long HOLDOVER_MARGIN_MICROS = 1_500_000;
     private static final long DO_TIMEOUT_MICROS = 3_000_000;
+    /** So long without any report, while others get some they can't hand on, or while nobody says anything. */
+    private static final long UNREACHED_MICROS = 6_000_000;
+    private static final long LONE_MICROS = 12_000_000;
+    private static final long STAND_BACK_MICROS = 10_000_000;
 
     private final Loop loop;
     private final StateStore store;
@@ -71,6 +79,7 @@
     private final Leadership leadership;
     private final long term;
     private final Supplier<Map<String, MachineType>> types;
+    private final Peers peers;
 
     private final Cluster cluster;
     private final KeyWriter writer;
@@ -89,10 +98,16 @@
     private long plannedMicros;
     private long fleetMicros;
     private long statusMicros;
+    private long reportMicros;
+    private long loadedMicros;
+    private long planCostMicros;
+    private long planMicros;
+    private long plans;
+    private final Set<String> sentToLook = new HashSet<>();
 
     public Tenure(Loop loop, StateStore store, CloudClient cloud, Caller caller, Settings settings,
             OperatorProperties operator, Leadership leadership, long term, long leaderStamp,
-            Supplier<Map<String, MachineType>> types) {
+            Supplier<Map<String, MachineType>> types, Peers peers) {
         this.loop = loop;
         this.store = store;
         this.caller = caller;
@@ -100,6 +115,7 @@
         this.leadership = leadership;
         this.term = term;
         this.types = types;
+        this.peers = peers;
         this.cluster = new Cluster(settings.teams());
         this.writer = new KeyWriter(store, loop, Leadership.LEADER_KEY, leaderStamp, settings.state().txnOps(),
                 () -> leadership.resign("the leader key has changed"));
@@ -108,7 +124,7 @@
         this.capacity = new CapacityPlanner(cluster, deadlines, estimates);
         RetrySchedule retries = new RetrySchedule(operator.retryInitialMicros(), operator.retryMaximumMicros(),
                 operator.parkedMicros());
-        this.desk = new ReportDesk(loop, term, cluster, writer, settings.workers(), retries, estimates, this,
+        this.desk = new ReportDesk(loop, term, cluster, writer, settings.workers(), retries, estimates, planner, this,
                 this::mayAct);
         this.fleet = new FleetKeeper(loop, term, cluster, cloud, writer, settings, operator, capacity, types,
                 this::mayAct, desk::clear);
@@ -207,6 +223,7 @@
                 fleet.inherit(Hire.of(entry.key(), entry.value(), entry.stamp()), bound);
             }
             loaded = true;
+            loadedMicros = loop.nowMicros();
             dirty = true;
         }
         LOG.info("term {} begins with {} unfinished jobs and {} machines", term, cluster.jobs().size(),
@@ -281,11 +298,7 @@
     // --- Reports ---------------------------------------------------------------------------------------------------
 
     /** Answers a worker's report, or says that this controller may not. */
-    public Reply answer(JsonNode body) {
-        Report report = Report.of(body);
-        if (report == null) {
-            return Reply.refusal(400, "hopper: is missing");
-        }
+    public Reply answer(Report report) {
         if (report.baton() > term) {
             leadership.heard(null, report.baton());
             return Reply.later(503, "a later term has begun", 1);
@@ -293,12 +306,53 @@
         if (closed || !loaded) {
             return Reply.later(503, "the term is only beginning", 1);
         }
+        reportMicros = loop.nowMicros();
         if (!mayKeepAlive()) {
             return Reply.later(503, "the state service has not confirmed the lease for too long", 1);
         }
+        if (!leadership.proven() && betterElsewhere(report.machine())) {
+            return Reply.later(503, "another controller may hold the lease by now", 1);
+        }
         return desk.report(report);
     }
 
+    /**
+     * Without proof of the lease nothing is launched here, and another controller may lead. If the state service answers
+     * somebody else, one does or soon will, so workers are let go while their tasks live. If nobody is heard at all, this
+     * controller is more likely cut off than everybody down: each worker is sent to look once, and kept if it comes back.
+     * If others are heard and are not answered either, it is an outage for all, in which holding over saves the tasks.
+     */
+    private boolean betterElsewhere(String machine) {
+        if (peers.storeAnswersAnother()) {
+            return true;
+        }
+        return settings.controllers() > 1 && peers.silent() && sentToLook.add(machine);
+    }
+
+    /** Looks, about once a second, whether the workers reach this holder at all. */
+    public void review() {
+        long now = loop.nowMicros();
+        boolean expected;
+        synchronized (cluster) {
+            expected = loaded && cluster.machines().stream().anyMatch(machine -> machine.trusted()
+                    || machine.mayHoldEarlier());
+        }
+        if (leadership.proven()) {
+            sentToLook.clear();
+        }
+        boolean heardElsewhere = peers.fresh().stream().anyMatch(peer -> peer.unanswered() > 0);
+        if (!heardElsewhere && !peers.silent()) {
+            // Nobody hears a worker, so there is none to hear.
+            return;
+        }
+        long patience = heardElsewhere ? UNREACHED_MICROS : LONE_MICROS;
+        if (expected && now - Math.max(reportMicros, loadedMicros) > patience) {
+            // Whoever can be reached may lead instead; tasks die if nobody answers for them.
+            leadership.standBack(STAND_BACK_MICROS);
+            leadership.resign("no worker reaches this controller");
+        }
+    }
+
     @Override
     public Machine adopt(Report report) {
         return fleet.adopt(report.machine(), report.build(), report.yard(), report.spot());
@@ -309,26 +363,52 @@
         return fleet.isGone(machine);
     }
 
+    @Override
+    public void cameUp(Machine machine) {
+        fleet.cameUp(machine);
+    }
+
     @Override
     public void progressed() {
         dirty = true;
     }
 
-    /** Plans anew if anything has changed since the last time. */
     @Override
-    public void refresh() {
-        if (!dirty || !mayAct()) {
+    public void ask(Machine machine) {
+        if (machine.address() == null) {
+            return;
+        }
+        long shift = machine.shift();
+        long tally = machine.tally();
+        caller.call(machine.address(), Call.get("/status"), DO_TIMEOUT_MICROS).thenAccept(reply -> {
+            Report report = !closed && reply.ok() ? Report.read(reply.body()) : null;
+            if (report != null && report.machine().equals(machine.name())) {
+                desk.asked(report, shift, tally);
+            }
+        });
+    }
+
+    /**
+     * Plans anew if anything has changed since the last time, and seldom enough that planning leaves most of the
+     * processor to reports: at a fraction of a core one plan for hundreds of machines takes many milliseconds.
+     */
+    private void plan() {
+        long now = loop.nowMicros();
+        if (!dirty || !mayAct() || now - plannedMicros < Math.max(PLAN_EVERY_MICROS, PLAN_REST_FACTOR * planCostMicros)) {
             return;
         }
         dirty = false;
-        plannedMicros = loop.nowMicros();
-        Planner.Plan plan = planner.plan(plannedMicros, loop.wallMicros());
+        plannedMicros = now;
+        Planner.Plan plan = planner.plan(now, loop.wallMicros());
         desk.plan(plan);
         for (Seat seat : plan.halts()) {
-            LOG.info("stopping {}/{} to make room", seat.uid(), seat.index());
-            seat.halt(seat.job().spec().stashMicros() + 1_000_000, plannedMicros);
+            LOG.debug("stopping {}/{} to make room", seat.uid(), seat.index());
+            seat.halt(seat.job().spec().stashMicros() + 1_000_000, now);
         }
         haltsDue.addAll(plan.haltsOn().values());
+        planCostMicros = loop.nowMicros() - now;
+        plans++;
+        planMicros += planCostMicros;
     }
 
     @Override
@@ -354,15 +434,9 @@
     }
 
     private void halt(ActiveJob job) {
-        Set<Machine> on = new LinkedHashSet<>();
-        for (Machine machine : cluster.machines()) {
-            for (Seat seat : machine.seats()) {
-                if (seat.job() == job && !seat.ended()) {
-                    on.add(machine);
-                }
-            }
+        for (Seat seat : cluster.book().of(job)) {
+            haltsDue.add(seat.machine());
         }
-        on.forEach(this::push);
     }
 
     /** Sends a machine its commands without waiting for its next report; what gets lost is repeated there. */
@@ -378,7 +452,7 @@
         Call call = Call.post("/do", orders.body(term).put("shift", machine.shift()));
         caller.call(machine.address(), call, DO_TIMEOUT_MICROS).thenAccept(reply -> {
             if (!closed && (reply.status() == 200 || reply.status() == 409)) {
-                Report report = Report.of(reply.json());
+                Report report = Report.read(reply.body());
                 if (report != null) {
                     desk.answered(report);
                 }
@@ -394,14 +468,18 @@
         }
         loop.after(TICK_MICROS, this::tick);
         long now = loop.nowMicros();
-        Set<Machine> toPush = new LinkedHashSet<>();
+        List<Machine> toPush = new ArrayList<>();
         synchronized (cluster) {
             desk.expire();
             dirty |= now - plannedMicros > PLAN_AT_LEAST_MICROS;
-            refresh();
-            toPush.addAll(haltsDue);
-            haltsDue.clear();
-            toPush.addAll(drainRecalled(now));
+            plan();
+            haltsDue.addAll(drainRecalled(now));
+            // A few at a time: what is not pushed is told in answer to the machine's next report anyway.
+            var due = haltsDue.iterator();
+            while (due.hasNext() && toPush.size() < MOST_PUSHES) {
+                toPush.add(due.next());
+                due.remove();
+            }
         }
         toPush.forEach(this::push);
         if (mayAct() && now - fleetMicros > FLEET_MICROS) {
@@ -438,7 +516,7 @@
     /** A withdrawn job is kept for as long as one of its tasks may be anywhere. */
     private void forgetWithdrawn(long now) {
         synchronized (cluster) {
-            if (!cluster.allHeard(now)) {
+            if (!cluster.allHeard()) {
                 return;
             }
             for (ActiveJob job : List.copyOf(cluster.jobs())) {
@@ -502,6 +580,10 @@
             gauges.put("sillreel.cpus.wanted", capacity.wantedCpus(loop.wallMicros()));
             gauges.put("sillreel.cpus.standing", capacity.standingCpus(loop.wallMicros()));
             gauges.put("sillreel.writes.waiting", (double) writer.backlog());
+            gauges.put("sillreel.machines.unheard", (double) cluster.unheard().size());
+            gauges.put("sillreel.plans", (double) plans);
+            gauges.put("sillreel.plans.ms", planMicros / 1_000.0);
+            gauges.put("sillreel.work", (double) cluster.work());
             return gauges;
         }
     }
--- /dev/null
+++ b/src/main/java/io/sillreel/peer/Peers.java
@@ -0,0 +1,48 @@
+package io.sillreel.peer;
+
+import io.sillreel.http.Loop;
+import io.sillreel.peer.PeerMessages.Hello;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The other controllers as they last said they were; what is older than a few seconds does not count. */
+public final class Peers {
+    private static final long FRESH_MICROS = 3_000_000;
+
+    private final Loop loop;
+    private final Map<String, Hello> hellos = new HashMap<>();
+    private final Map<String, Long> heardMicros = new HashMap<>();
+
+    public Peers(Loop loop) {
+        this.loop = loop;
+    }
+
+    public synchronized void heard(Hello hello) {
+        hellos.put(hello.node(), hello);
+        heardMicros.put(hello.node(), loop.nowMicros());
+    }
+
+    /** Those that were heard lately. */
+    public synchronized Collection<Hello> fresh() {
+        List<Hello> fresh = new ArrayList<>();
+        hellos.forEach((node, hello) -> {
+            if (loop.nowMicros() - heardMicros.get(node) < FRESH_MICROS) {
+                fresh.add(hello);
+            }
+        });
+        return fresh;
+    }
+
+    /** True if nobody else is heard at all, though there are others. */
+    public boolean silent() {
+        return fresh().isEmpty();
+    }
+
+    /** True if the state service answers another controller: then an outage is not for all. */
+    public boolean storeAnswersAnother() {
+        return fresh().stream().anyMatch(Hello::storeAnswers);
+    }
+}
--- a/src/main/java/io/sillreel/pipeline/ActiveJob.java
+++ b/src/main/java/io/sillreel/pipeline/ActiveJob.java
@@ -33,10 +33,15 @@
     private final BitSet stored = new BitSet();
     private final BitSet sent = new BitSet();
     private final BitSet seated = new BitSet();
+    /** Pieces that are done or have a seat; kept with the counts, since reports ask for them all the time. */
+    private final BitSet taken = new BitSet();
     private final Int2IntCounterMap seats = new Int2IntCounterMap(0);
     private final Set<Integer> dirtyChunks = new HashSet<>();
     private final Set<String> failedOn = new HashSet<>();
 
+    private int doneCount;
+    private int seatedCount;
+    private int takenCount;
     private long runStamp;
     private boolean released;
     private boolean inherited;
@@ -44,6 +49,7 @@
     private boolean doneStored;
     private boolean withdrawn;
     private int attempts;
+    private int attemptsSent;
     private long nextWallMicros;
     private String reason;
     private boolean succeededOnce;
@@ -64,6 +70,7 @@
         inherited = true;
         run.release(spec.uid());
         attempts = head.attempts();
+        attemptsSent = attempts;
         nextWallMicros = head.nextMicros();
         reason = head.reason();
         if (chunked()) {
@@ -73,7 +80,10 @@
             done.or(RunRecord.decode(head.bits()));
         }
         stored.or(done);
-        succeededOnce = !done.isEmpty();
+        taken.or(done);
+        doneCount = done.cardinality();
+        takenCount = doneCount;
+        succeededOnce = doneCount > 0;
     }
 
     public JobSpec spec() {
@@ -113,7 +123,7 @@
     }
 
     public boolean complete() {
-        return done.cardinality() == spec.pieces();
+        return doneCount == spec.pieces();
     }
 
     /** True once every user may be told that the job is done. */
@@ -122,7 +132,7 @@
     }
 
     public int doneCount() {
-        return done.cardinality();
+        return doneCount;
     }
 
     public boolean isDone(int piece) {
@@ -139,6 +149,11 @@
             return false;
         }
         done.set(piece);
+        doneCount++;
+        if (!taken.get(piece)) {
+            taken.set(piece);
+            takenCount++;
+        }
         dirtyChunks.add(piece / chunkPieces);
         succeededOnce = true;
         failedOn.clear();
@@ -150,15 +165,29 @@
 
     /** One more live task of the piece; normally the only one. */
     public void seat(int piece) {
-        seated.set(piece);
         seats.incrementAndGet(piece);
+        if (!seated.get(piece)) {
+            seated.set(piece);
+            seatedCount++;
+            if (!taken.get(piece)) {
+                taken.set(piece);
+                takenCount++;
+            }
+        }
     }
 
     /** One live task less. A piece waits again only once none is left: two may be known for a moment after a takeover. */
     public void unseat(int piece) {
         if (seats.decrementAndGet(piece) <= 0) {
             seats.remove(piece);
-            seated.clear(piece);
+            if (seated.get(piece)) {
+                seated.clear(piece);
+                seatedCount--;
+                if (!done.get(piece)) {
+                    taken.clear(piece);
+                    takenCount--;
+                }
+            }
         }
     }
 
@@ -167,27 +196,17 @@
     }
 
     public int seatedCount() {
-        return seated.cardinality();
+        return seatedCount;
     }
 
     /** The next piece that is neither done nor on a machine, or -1. */
     public int nextWaiting() {
-        int piece = 0;
-        while (piece < spec.pieces()) {
-            int notDone = done.nextClearBit(piece);
-            int free = seated.nextClearBit(notDone);
-            if (free == notDone) {
-                return free < spec.pieces() ? free : -1;
-            }
-            piece = free;
-        }
-        return -1;
+        int piece = taken.nextClearBit(0);
+        return piece < spec.pieces() ? piece : -1;
     }
 
     public int waitingCount() {
-        BitSet taken = (BitSet) done.clone();
-        taken.or(seated);
-        return spec.pieces() - taken.cardinality();
+        return spec.pieces() - takenCount;
     }
 
     public long nextWallMicros() {
@@ -225,6 +244,14 @@
         return runStamp;
     }
 
+    @Override
+    public KeyWriter.Urgency urgency() {
+        if (complete()) {
+            return KeyWriter.Urgency.END;
+        }
+        return released && attempts == attemptsSent ? KeyWriter.Urgency.PROGRESS : KeyWriter.Urgency.START;
+    }
+
     @Override
     public String absent() {
         return "withdraw/" + spec.uid();
@@ -235,6 +262,7 @@
         Map<String, JsonNode> changes = new LinkedHashMap<>();
         sent.clear();
         sent.or(done);
+        attemptsSent = attempts;
         doneSent = complete();
         String bits = null;
         if (!doneSent) {
@@ -249,9 +277,9 @@
             }
         }
         dirtyChunks.clear();
-        int running = seated.cardinality();
+        int running = seatedCount;
         String stage = doneSent ? RunRecord.DONE : running > 0 ? "running" : "queued";
-        changes.put(key(), new RunRecord.Head(spec.pieces(), done.cardinality(), running, attempts, nextWallMicros,
+        changes.put(key(), new RunRecord.Head(spec.pieces(), doneCount, running, attempts, nextWallMicros,
                 stage, reason, bits).json());
         return changes;
     }
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -171,7 +171,7 @@
     /** Waiting jobs that no machine of the fleet could ever take get one that can. */
     private void stranded(Collection<MachineType> types, long nowMicros, long wallMicros, List<Wish> wishes) {
         for (ActiveJob job : cluster.jobs()) {
-            if (!cluster.launchable(job, nowMicros, wallMicros) || job.waitingCount() == 0 || job.seatedCount() > 0) {
+            if (!cluster.launchable(job, wallMicros) || job.waitingCount() == 0 || job.seatedCount() > 0) {
                 continue;
             }
             boolean hosted = cluster.machines().stream().anyMatch(machine -> counts(machine, nowMicros)
@@ -264,7 +264,7 @@
         for (Machine machine : cluster.machines()) {
             if (machine.state() == Machine.State.UP && machine.trusted()) {
                 have += machine.type().cpus();
-                boolean idle = machine.seats().isEmpty() && nowMicros - machine.idleSinceMicros() > idleMicros;
+                boolean idle = nowMicros - machine.idleSinceMicros(nowMicros) > idleMicros;
                 boolean settled = nowMicros - machine.upMicros() > SETTLED_MICROS;
                 if (idle || !machine.spot() && settled) {
                     candidates.add(machine);
@@ -275,7 +275,7 @@
         double spare = have - Math.max(wantedCpus(wallMicros), needed);
         candidates.sort(Comparator.<Machine>comparingDouble(machine ->
                         -machine.type().priceOf(machine.spot()) / machine.type().cpus())
-                .thenComparingInt(machine -> machine.seats().size()));
+                .thenComparingInt(Machine::liveCount));
         List<Machine> surplus = new ArrayList<>();
         for (Machine machine : candidates) {
             if (machine.type().cpus() <= spare + 0.01) {
--- a/src/main/java/io/sillreel/placement/Cluster.java
+++ b/src/main/java/io/sillreel/placement/Cluster.java
@@ -2,24 +2,29 @@
 
 import io.sillreel.fleet.Machine;
 import io.sillreel.fleet.Seat;
+import io.sillreel.fleet.SeatBook;
+import io.sillreel.fleet.TeamUse;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.settings.Settings.Team;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the lease holder knows of jobs and machines, and the rules of where a task may start. All access is under the
  * object's own lock, which is held for one report or one tick and never across I/O.
  */
 public final class Cluster {
-    private static final long MILLI = 1_000;
-
     private final Map<String, Team> teams;
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final SeatBook book = new SeatBook();
+    /** Machines on which an earlier holder's tasks may be that no report has shown yet. */
+    private final Set<Machine> unheard = new LinkedHashSet<>();
+    private long work;
 
     public Cluster(Map<String, Team> teams) {
         this.teams = teams;
@@ -53,91 +58,107 @@
         machines.put(machine.name(), machine);
     }
 
+    /** A machine of an earlier term: until it is heard, or its bound has passed, it may hold that term's tasks. */
+    public void addInherited(Machine machine) {
+        add(machine);
+        if (machine.mayHoldEarlier()) {
+            unheard.add(machine);
+        }
+    }
+
     public void remove(Machine machine) {
         machines.remove(machine.name());
+        unheard.remove(machine);
+    }
+
+    /** Nothing of an earlier term is hidden on the machine any more. */
+    public void cleared(Machine machine) {
+        unheard.remove(machine);
+    }
+
+    public SeatBook book() {
+        return book;
+    }
+
+    /** Steps of planning and of reports so far: what they cost must not grow with machines that have nothing to do with them. */
+    public long work() {
+        return work;
+    }
+
+    public void worked(int steps) {
+        work += steps;
     }
 
     public Team team(String name) {
         return teams.get(name);
     }
 
-    /** True if an earlier holder's tasks may be on a machine that has not reported under this term. */
-    public boolean unheard(Machine machine, long nowMicros) {
-        return !machine.trusted() && machine.leaseBoundMicros() > nowMicros;
+    public Collection<Machine> unheard() {
+        return unheard;
     }
 
-    public boolean allHeard(long nowMicros) {
-        return machines.values().stream().noneMatch(machine -> unheard(machine, nowMicros));
+    public boolean allHeard() {
+        return unheard.isEmpty();
     }
 
-    /** What each team's tasks take, in thousandths: {cpus, cards}; tasks count until they are certainly gone. */
-    public Map<String, long[]> usage(long nowMicros) {
-        Map<String, long[]> usage = new HashMap<>();
-        double unheardCpus = 0;
-        double unheardCards = 0;
-        for (Machine machine : machines.values()) {
-            if (unheard(machine, nowMicros)) {
-                unheardCpus += machine.type().cpus();
-                unheardCards += machine.type().cards();
-            }
-            for (Seat seat : machine.seats()) {
-                if (!seat.ended() && seat.job() != null) {
-                    take(usage, seat.job().spec(), 1);
-                }
-            }
-        }
-        if (unheardCpus > 0 || unheardCards > 0) {
-            addWorstCase(usage, unheardCpus, unheardCards);
+    /** What each team's tasks take; tasks count until they are certainly gone. To be changed freely by the caller. */
+    public TeamUse usage() {
+        TeamUse usage = book.use().copy();
+        if (!unheard.isEmpty()) {
+            addWorstCase(usage);
         }
         return usage;
     }
 
     /** An earlier holder's tasks on machines not heard of yet count as if they were all there. */
-    private void addWorstCase(Map<String, long[]> usage, double unheardCpus, double unheardCards) {
-        Map<String, long[]> hidden = new HashMap<>();
+    private void addWorstCase(TeamUse usage) {
+        double unheardCpus = 0;
+        double unheardCards = 0;
+        for (Machine machine : unheard) {
+            unheardCpus += machine.type().cpus();
+            unheardCards += machine.type().cards();
+        }
+        TeamUse hidden = new TeamUse();
         for (ActiveJob job : jobs.values()) {
             if (job.inherited()) {
-                take(hidden, job.spec(), job.waitingCount());
+                hidden.take(job.spec(), job.waitingCount());
             }
         }
-        hidden.forEach((team, most) -> {
-            long[] sum = usage.computeIfAbsent(team, name -> new long[2]);
-            sum[0] += Math.min(most[0], milli(unheardCpus));
-            sum[1] += Math.min(most[1], milli(unheardCards));
-        });
-    }
-
-    public static void take(Map<String, long[]> usage, JobSpec spec, int tasks) {
-        long[] sum = usage.computeIfAbsent(spec.crew(), name -> new long[2]);
-        sum[0] += tasks * milli(spec.cpus());
-        sum[1] += tasks * milli(spec.cards());
+        usage.addHidden(hidden, unheardCpus, unheardCards);
     }
 
     /** How many more tasks of the job its team's limit allows. */
-    public int headroom(JobSpec spec, Map<String, long[]> usage) {
+    public int headroom(JobSpec spec, TeamUse usage) {
         Team team = teams.get(spec.crew());
         if (team == null) {
             return 0;
         }
-        long[] used = usage.getOrDefault(spec.crew(), new long[2]);
-        return Math.min(left(team.cpusMax(), used[0], spec.cpus()), left(team.gpusMax(), used[1], spec.cards()));
+        TeamUse.Amount used = usage.of(spec.crew());
+        return Math.min(left(team.cpusMax(), used.cpus(), spec.cpus()), left(team.gpusMax(), used.cards(), spec.cards()));
     }
 
     private static int left(double most, long used, double each) {
         if (most <= 0 || each <= 0) {
             return Integer.MAX_VALUE;
         }
-        return (int) Math.max(0, (milli(most) - used) / milli(each));
-    }
-
-    static long milli(double amount) {
-        return (long) Math.ceil(amount * MILLI - 1e-6);
+        return (int) Math.max(0, (TeamUse.milli(most) - used) / TeamUse.milli(each));
     }
 
     /** True if the job's tasks may be launched at all now. */
-    public boolean launchable(ActiveJob job, long nowMicros, long wallMicros) {
+    public boolean launchable(ActiveJob job, long wallMicros) {
         return job.released() && !job.withdrawn() && !job.complete() && wallMicros >= job.nextWallMicros()
-                && (!job.inherited() || allHeard(nowMicros));
+                && (!job.inherited() || !mayBeHidden(job));
+    }
+
+    /** True if a machine that has not been heard in this term could hold tasks of the job. */
+    private boolean mayBeHidden(ActiveJob job) {
+        for (Machine machine : unheard) {
+            if (allows(job.spec(), machine) && Machine.fits(job.spec(), machine.type().cpus(), machine.type().ramGb(),
+                    machine.type().cards()) > 0) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** True if the machine is one the job allows, its other tasks aside. */
@@ -154,15 +175,11 @@
         }
         int here = 0;
         int elsewhere = 0;
-        for (Machine machine : machines.values()) {
-            for (Seat seat : machine.seats()) {
-                if (seat.job() == job && !seat.ended()) {
-                    if (machine.yard().equals(yard)) {
-                        here++;
-                    } else {
-                        elsewhere++;
-                    }
-                }
+        for (Seat seat : book.of(job)) {
+            if (seat.machine().yard().equals(yard)) {
+                here++;
+            } else {
+                elsewhere++;
             }
         }
         if (spec.oneZone() && elsewhere > 0) {
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -2,34 +2,60 @@
 
 import io.sillreel.fleet.Machine;
 import io.sillreel.fleet.Seat;
+import io.sillreel.fleet.TeamUse;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.Rank;
 import io.sillreel.settings.Settings.Team;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
- * Where waiting tasks go. The ordinary order is the compiled one, earlier-admitted pipelines first; ranks and guarantees
- * are the exceptions. The outcome is a proposal: what a machine is really told is checked again when it reports.
+ * Where waiting tasks go. The ordinary order is the compiled one, earlier-admitted pipelines first; ranks, guarantees and
+ * age are the exceptions. A plan over all machines is made now and then; in between, a machine that reports free room is
+ * filled from what the last plan had no room for, so that the cost of a report does not grow with the fleet. Either way
+ * the outcome is a proposal: what a machine is really told is checked again when it reports.
  */
 public final class Planner {
     /** So many tasks of the job are to go on the machine. */
     public record Assignment(ActiveJob job, int count) {
     }
 
-    /** The proposal: launches for each machine, and tasks to stop in favour of others. */
-    public record Plan(Map<String, List<Assignment>> launches, List<Seat> halts, Map<String, Machine> haltsOn) {
-        public static final Plan EMPTY = new Plan(Map.of(), List.of(), Map.of());
+    /** A waiting job with its place in the order, and how many of its tasks have no place yet. */
+    static final class Queued {
+        final ActiveJob job;
+        final int level;
+        final boolean pressing;
+        final boolean aged;
+        int left;
+
+        Queued(ActiveJob job, int level, boolean pressing, boolean aged) {
+            this.job = job;
+            this.level = level;
+            this.pressing = pressing;
+            this.aged = aged;
+            this.left = job.waitingCount();
+        }
+    }
+
+    /**
+     * The proposal: launches for each machine, tasks to stop in favour of others, what found no place, and machines that
+     * are being emptied for a task that has waited too long.
+     */
+    public record Plan(Map<String, List<Assignment>> launches, List<Seat> halts, Map<String, Machine> haltsOn,
+            List<Queued> left, Map<String, Queued> reserved) {
+        public static final Plan EMPTY = new Plan(Collections.emptyMap(), List.of(), Map.of(), List.of(), Map.of());
     }
 
     /** How long guaranteed work waits on others before it goes ahead of them. */
-    private static final long GUARANTEE_PATIENCE_MICROS = 4_000_000;
+    private static final long GUARANTEE_PATIENCE_MICROS = 2_000_000;
     private static final long REPORT_SILENCE_FACTOR = 3;
     private static final int LEVELS_PER_RANK = 2;
     /** A low rank yields until its work has so little time left to start. */
@@ -38,6 +64,15 @@
     private static final long PRESSING_MICROS = 15_000_000;
     /** Work of normal rank stops other work only if it would be late otherwise, and only what saves its progress. */
     private static final long LAST_CHANCE_MICROS = 6_000_000;
+    /** No exception holds a job up for longer: one that has not begun by then goes before all others. */
+    private static final long BEGIN_BY_MICROS = 120_000_000;
+    /** Nor keeps one that has begun from its end for ever. */
+    private static final long END_BY_MICROS = 300_000_000;
+    /** Machines that are kept free, piece by piece, for one job that has waited too long. */
+    private static final int MOST_RESERVED = 2;
+    /** Jobs that may have others' tasks stopped in one plan, and jobs looked at to fill one machine. */
+    private static final int MOST_PREEMPTING = 12;
+    private static final int MOST_LOOKED_AT = 64;
 
     private final Cluster cluster;
     private final long reportMicros;
@@ -81,87 +116,164 @@
 
     /** True if the machine takes launches now. */
     public boolean usable(Machine machine, long nowMicros) {
-        return machine.state() == Machine.State.UP && machine.trusted() && !machine.recalled()
-                && machine.hire().isStored(machine.name())
+        return machine.state() == Machine.State.UP && machine.trusted() && !machine.recalled() && !machine.deaf()
+                && machine.hire().mayHold(machine.name())
                 && nowMicros - machine.lastReportMicros() < REPORT_SILENCE_FACTOR * reportMicros;
     }
 
+    /** A plan for everything that waits. */
     public Plan plan(long nowMicros, long wallMicros) {
-        List<Queued> queue = queue(nowMicros, wallMicros);
+        Set<ActiveJob> guaranteed = guaranteed();
+        List<Queued> queue = queue(guaranteed, wallMicros);
         if (queue.isEmpty()) {
             return Plan.EMPTY;
         }
+        double least = queue.stream().mapToDouble(queued -> queued.job.spec().cpus()).min().orElse(0);
         List<Space> spaces = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
-            if (usable(machine, nowMicros)) {
+            if (usable(machine, nowMicros) && machine.freeCpus() >= least - 1e-6) {
                 spaces.add(new Space(machine));
             }
         }
-        Map<String, long[]> usage = cluster.usage(nowMicros);
-        Map<String, List<Assignment>> launches = new HashMap<>();
-        List<Seat> halts = new ArrayList<>();
-        Map<String, Machine> haltsOn = new HashMap<>();
+        cluster.worked(queue.size() + cluster.machines().size());
+        Plan plan = new Plan(new HashMap<>(), new ArrayList<>(), new HashMap<>(), new ArrayList<>(), new HashMap<>());
+        TeamUse usage = cluster.usage();
+        Preemption preemption = new Preemption(plan, guaranteed, nowMicros);
+        int preempting = 0;
         // Within a level, what is not pressing first takes only the places that have its image; the rest comes after.
         int from = 0;
         while (from < queue.size()) {
             int to = from;
-            while (to < queue.size() && queue.get(to).level() == queue.get(from).level()) {
+            while (to < queue.size() && queue.get(to).level == queue.get(from).level) {
                 to++;
             }
             List<Queued> level = queue.subList(from, to);
             for (Queued queued : level) {
-                assign(queued.job(), spaces, usage, launches, !queued.pressing());
+                assign(queued, spaces, usage, plan, !queued.pressing);
             }
             for (Queued queued : level) {
-                int left = assign(queued.job(), spaces, usage, launches, false);
-                if (left > 0) {
-                    preempt(queued.job(), left, halts, haltsOn, nowMicros, wallMicros);
+                int lacking = assign(queued, spaces, usage, plan, false);
+                if (lacking > 0 && queued.aged) {
+                    reserve(queued, spaces, plan, nowMicros);
+                }
+                if (lacking > 0 && preempting < MOST_PREEMPTING && preemption.on(queued, lacking, wallMicros)) {
+                    preempting++;
                 }
             }
+            spaces.removeIf(space -> space.cpus < least - 1e-6);
             from = to;
         }
-        return new Plan(launches, halts, haltsOn);
+        for (Queued queued : queue) {
+            if (queued.left > 0) {
+                plan.left().add(queued);
+            }
+        }
+        return plan;
     }
 
-    /** A waiting job with its place in the order. */
-    private record Queued(ActiveJob job, int level, boolean pressing) {
+    /** Tasks that the last plan had no room for and that fit on the machine now, in the same order. */
+    public List<Assignment> fill(Plan plan, Machine machine, long nowMicros, long wallMicros) {
+        List<Assignment> assignments = new ArrayList<>();
+        if (plan.left().isEmpty() || !usable(machine, nowMicros) || machine.suspect()) {
+            return assignments;
+        }
+        Space space = new Space(machine);
+        TeamUse usage = null;
+        List<Queued> left = plan.left();
+        Queued owner = plan.reserved().get(machine.name());
+        int looked = 0;
+        int from = 0;
+        while (from < left.size() && looked < MOST_LOOKED_AT && space.cpus > 1e-6) {
+            int to = from;
+            while (to < left.size() && left.get(to).level == left.get(from).level && to - from < MOST_LOOKED_AT) {
+                to++;
+            }
+            for (int pass = 0; pass < 2; pass++) {
+                for (Queued queued : left.subList(from, to)) {
+                    looked++;
+                    JobSpec spec = queued.job.spec();
+                    boolean now = queued.pressing || space.hasImage(spec);
+                    if (queued.left <= 0 || now == (pass == 1) || owner != null && owner.left > 0 && owner != queued
+                            || !Cluster.allows(spec, machine) || space.room(spec) <= 0) {
+                        continue;
+                    }
+                    usage = usage == null ? cluster.usage() : usage;
+                    int count = Math.min(Math.min(queued.left, space.room(spec)), startable(queued.job, machine, usage,
+                            wallMicros));
+                    if (count > 0) {
+                        space.take(spec, count);
+                        usage.take(spec, count);
+                        queued.left -= count;
+                        assignments.add(new Assignment(queued.job, count));
+                    }
+                }
+            }
+            from = to;
+        }
+        cluster.worked(looked);
+        return assignments;
+    }
+
+    /** How many tasks of the job the rules let start on the machine now, its room aside. */
+    private int startable(ActiveJob job, Machine machine, TeamUse usage, long wallMicros) {
+        if (!cluster.launchable(job, wallMicros) || job.failedOn().contains(machine.name()) || probing(job)) {
+            return 0;
+        }
+        return Math.min(job.waitingCount(),
+                Math.min(cluster.headroom(job.spec(), usage), cluster.yardRoom(job, machine.yard())));
+    }
+
+    /** True while it isn't known whether the job fails everywhere: then one task at a time is tried. */
+    private static boolean probing(ActiveJob job) {
+        return !job.succeededOnce() && !job.failedOn().isEmpty();
     }
 
     /** Waiting jobs in the order in which they are served. */
-    private List<Queued> queue(long nowMicros, long wallMicros) {
-        Set<ActiveJob> guaranteed = guaranteed();
+    private List<Queued> queue(Set<ActiveJob> guaranteed, long wallMicros) {
         List<Queued> queue = new ArrayList<>();
         for (ActiveJob job : cluster.jobs()) {
-            if (cluster.launchable(job, nowMicros, wallMicros) && job.waitingCount() > 0) {
-                queue.add(new Queued(job, level(job, guaranteed.contains(job), wallMicros),
-                        deadlines.slackMicros(job, wallMicros) < PRESSING_MICROS));
+            if (job.waitingCount() > 0 && cluster.launchable(job, wallMicros)) {
+                long slack = deadlines.slackMicros(job, wallMicros);
+                boolean aged = aged(job, wallMicros);
+                queue.add(new Queued(job, aged ? 0 : level(job, slack, guaranteed.contains(job), wallMicros),
+                        aged || slack >= 0 && slack < PRESSING_MICROS, aged));
             }
         }
-        queue.sort(Comparator.comparingInt(Queued::level).thenComparingLong(queued -> queued.job().planStamp()));
+        queue.sort(Comparator.<Queued>comparingInt(queued -> queued.level)
+                .thenComparingLong(queued -> queued.job.planStamp()));
         return queue;
     }
 
+    /** No exception from the order of admission lasts for ever: such a job goes before all that came after it. */
+    private static boolean aged(ActiveJob job, long wallMicros) {
+        long age = wallMicros - job.admittedWallMicros();
+        return age > END_BY_MICROS || unbegun(job) && age > BEGIN_BY_MICROS;
+    }
+
+    private static boolean unbegun(ActiveJob job) {
+        return job.seatedCount() == 0 && job.doneCount() == 0;
+    }
+
     /**
      * The exceptions from the order of admission: ranks; guaranteed work that waits too long; work of a low rank that
      * would miss its time if it yielded any longer; and work that has missed it, which yields to what can still make it.
+     * Level 0 is for what has waited too long.
      */
-    private int level(ActiveJob job, boolean guaranteed, long wallMicros) {
+    private int level(ActiveJob job, long slack, boolean guaranteed, long wallMicros) {
         Rank rank = job.spec().rank();
-        int level = LEVELS_PER_RANK * rank.ordinal();
-        boolean unstarted = job.seatedCount() == 0 && job.doneCount() == 0;
-        if (guaranteed && unstarted && wallMicros - job.admittedWallMicros() > GUARANTEE_PATIENCE_MICROS) {
-            return Math.min(level, LEVELS_PER_RANK * Rank.HIGH.ordinal());
+        int level = 1 + LEVELS_PER_RANK * rank.ordinal();
+        if (guaranteed && wallMicros - job.admittedWallMicros() > GUARANTEE_PATIENCE_MICROS) {
+            return Math.min(level, 1 + LEVELS_PER_RANK * Rank.HIGH.ordinal());
         }
-        long slack = deadlines.slackMicros(job, wallMicros);
         if (slack < 0) {
             return level + 1;
         }
-        return rank == Rank.BEST_EFFORT && slack < URGENT_MICROS ? LEVELS_PER_RANK * Rank.NORMAL.ordinal() + 1 : level;
+        return rank == Rank.BEST_EFFORT && slack < URGENT_MICROS ? LEVELS_PER_RANK * Rank.NORMAL.ordinal() + 2 : level;
     }
 
     /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
     Set<ActiveJob> guaranteed() {
-        Map<String, long[]> claimed = new HashMap<>();
+        TeamUse claimed = new TeamUse();
         Set<ActiveJob> within = new HashSet<>();
         List<ActiveJob> jobs = new ArrayList<>(cluster.jobs());
         jobs.sort(Comparator.comparingLong(ActiveJob::planStamp));
@@ -170,9 +282,9 @@
             if (job.withdrawn() || team == null) {
                 continue;
             }
-            Cluster.take(claimed, job.spec(), job.spec().pieces());
-            long[] sum = claimed.get(job.spec().crew());
-            if (sum[0] <= Cluster.milli(team.cpus()) && sum[1] <= Cluster.milli(team.gpus())) {
+            claimed.take(job.spec(), job.spec().pieces());
+            TeamUse.Amount sum = claimed.of(job.spec().crew());
+            if (sum.cpus() <= TeamUse.milli(team.cpus()) && sum.cards() <= TeamUse.milli(team.gpus())) {
                 within.add(job);
             }
         }
@@ -180,13 +292,11 @@
     }
 
     /** Assigns what fits and returns how many tasks are left over for lack of room. */
-    private int assign(ActiveJob job, List<Space> spaces, Map<String, long[]> usage,
-            Map<String, List<Assignment>> launches, boolean onlyWithImage) {
+    private int assign(Queued queued, List<Space> spaces, TeamUse usage, Plan plan, boolean onlyWithImage) {
+        ActiveJob job = queued.job;
         JobSpec spec = job.spec();
-        int unplaced = job.waitingCount();
-        int waiting = Math.min(unplaced - assigned(job, launches), cluster.headroom(spec, usage));
-        boolean probing = !job.succeededOnce() && !job.failedOn().isEmpty();
-        if (probing) {
+        int waiting = Math.min(queued.left, cluster.headroom(spec, usage));
+        if (probing(job)) {
             waiting = Math.min(waiting, job.seatedCount() == 0 ? 1 : 0);
         }
         if (waiting <= 0) {
@@ -194,19 +304,22 @@
         }
         List<Space> candidates = new ArrayList<>();
         for (Space space : spaces) {
-            if (Cluster.allows(spec, space.machine) && space.room(spec) > 0
-                    && (!onlyWithImage || space.hasImage(spec))
+            Queued owner = plan.reserved().get(space.machine.name());
+            if (space.room(spec) > 0 && Cluster.allows(spec, space.machine)
+                    && (!onlyWithImage || space.hasImage(spec)) && (owner == null || owner == queued)
                     && !space.machine.suspect() && !job.failedOn().contains(space.machine.name())) {
                 candidates.add(space);
             }
         }
+        cluster.worked(spaces.size());
         // Where the image is, the fullest place first, so that others empty; where it isn't, one fetch for many tasks.
-        Map<String, Double> packing = new HashMap<>();
-        candidates.forEach(space -> packing.put(space.machine.name(),
-                space.hasImage(spec) ? space.cpus : -Math.min(space.room(spec), unplaced)));
+        Map<Space, Double> packing = new HashMap<>();
+        for (Space space : candidates) {
+            packing.put(space, space.hasImage(spec) ? space.cpus : -Math.min(space.room(spec), queued.left));
+        }
         candidates.sort(Comparator.<Space>comparingLong(space -> fetchMicros(space, spec) / 2_000_000)
                 .thenComparingInt(space -> space.machine.spot() ? 0 : 1)
-                .thenComparingDouble(space -> packing.get(space.machine.name()))
+                .thenComparingDouble(packing::get)
                 .thenComparing(space -> space.machine.name()));
         Map<String, Integer> yardRoom = new HashMap<>();
         String onlyYard = null;
@@ -226,21 +339,13 @@
             onlyYard = yard;
             yardRoom.put(yard, inYard == Integer.MAX_VALUE ? inYard : inYard - count);
             space.take(spec, count);
-            Cluster.take(usage, spec, count);
+            usage.take(spec, count);
             waiting -= count;
-            launches.computeIfAbsent(space.machine.name(), name -> new ArrayList<>()).add(new Assignment(job, count));
-        }
-        return probing ? 0 : waiting;
-    }
-
-    private static int assigned(ActiveJob job, Map<String, List<Assignment>> launches) {
-        int count = 0;
-        for (List<Assignment> assignments : launches.values()) {
-            for (Assignment assignment : assignments) {
-                count += assignment.job() == job ? assignment.count() : 0;
-            }
+            queued.left -= count;
+            plan.launches().computeIfAbsent(space.machine.name(), name -> new ArrayList<>())
+                    .add(new Assignment(job, count));
         }
-        return count;
+        return probing(job) ? 0 : waiting;
     }
 
     private static long fetchMicros(Space space, JobSpec spec) {
@@ -248,93 +353,202 @@
                 : Math.round(spec.imageGb() / Math.max(0.01, space.machine.type().pullGbPerSecond()) * 1_000_000);
     }
 
-    /** Stops tasks of lower rank where that really makes room. */
-    private void preempt(ActiveJob job, int left, List<Seat> halts, Map<String, Machine> haltsOn, long nowMicros,
-            long wallMicros) {
-        JobSpec spec = job.spec();
-        boolean urgent = spec.rank().above(Rank.NORMAL);
-        long slack = deadlines.slackMicros(job, wallMicros);
-        if (spec.rank() == Rank.BEST_EFFORT || !urgent && (slack < 0 || slack > LAST_CHANCE_MICROS)) {
-            return;
-        }
-        int needed = left - beingFreed(spec, nowMicros);
+    /**
+     * Keeps machines free for a job that has waited too long and fits nowhere now: small tasks would else take each
+     * processor as it comes free, and a large one would never find enough of them together.
+     */
+    private void reserve(Queued queued, List<Space> spaces, Plan plan, long nowMicros) {
+        JobSpec spec = queued.job.spec();
         List<Machine> machines = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
-            if (usable(machine, nowMicros) && Cluster.allows(spec, machine) && !machine.suspect()) {
+            if (usable(machine, nowMicros) && Cluster.allows(spec, machine) && !machine.suspect()
+                    && !plan.reserved().containsKey(machine.name())
+                    && Machine.fits(spec, machine.type().cpus(), machine.type().ramGb(), machine.type().cards()) > 0) {
                 machines.add(machine);
             }
         }
-        machines.sort(Comparator.<Machine>comparingInt(machine -> machine.hasImage(spec) ? 0 : 1)
-                .thenComparing(Machine::name));
-        // The lowest rank everywhere before the next one anywhere: what is only fetching loses no work, but its place.
-        Rank[] ranks = Rank.values();
-        for (int rank = ranks.length - 1; rank > spec.rank().ordinal(); rank--) {
-            for (Machine machine : machines) {
-                if (needed <= 0) {
-                    return;
+        machines.sort(Comparator.<Machine>comparingDouble(machine -> -machine.freeCpus()).thenComparing(Machine::name));
+        for (Machine machine : machines.subList(0, Math.min(machines.size(), Math.min(queued.left, MOST_RESERVED)))) {
+            plan.reserved().put(machine.name(), queued);
+        }
+    }
+
+    /** What is stopped in favour of others, within one plan. What it needs to know of all tasks is gathered once. */
+    private final class Preemption {
+        private final Plan plan;
+        private final Set<ActiveJob> guaranteed;
+        private final long nowMicros;
+        private final Set<Seat> halting = new HashSet<>();
+        private final List<Machine> machines = new ArrayList<>();
+        private final List<Machine> freeing = new ArrayList<>();
+        /** How much each team runs beyond its guarantee, in thousandths of processors. */
+        private final Map<String, Long> beyond = new HashMap<>();
+        private boolean gathered;
+
+        Preemption(Plan plan, Set<ActiveJob> guaranteed, long nowMicros) {
+            this.plan = plan;
+            this.guaranteed = guaranteed;
+            this.nowMicros = nowMicros;
+        }
+
+        private void gather() {
+            if (gathered) {
+                return;
+            }
+            gathered = true;
+            for (Machine machine : cluster.machines()) {
+                if (!usable(machine, nowMicros)) {
+                    continue;
+                }
+                if (!machine.suspect()) {
+                    machines.add(machine);
                 }
-                needed -= stop(spec, ranks[rank], needed, machine, !urgent, halts, haltsOn, nowMicros);
+                if (machine.seats().stream().anyMatch(seat -> seat.halting() && !seat.ended())) {
+                    freeing.add(machine);
+                }
+                cluster.worked(machine.seats().size());
             }
         }
-    }
 
-    /** Stops tasks of the rank on the machine, the least work first, and returns how many of the job's will fit for it. */
-    private int stop(JobSpec spec, Rank rank, int needed, Machine machine, boolean onlySaving, List<Seat> halts,
-            Map<String, Machine> haltsOn, long nowMicros) {
-        List<Seat> victims = new ArrayList<>();
-        double cpus = machine.freeCpus();
-        double ram = machine.freeRamGb();
-        double cards = machine.freeCards();
-        for (Seat seat : machine.seats()) {
-            if (seat.job() == null || seat.ended()) {
-                continue;
+        /** Stops tasks where that really makes room for the job; false if the job may have none stopped. */
+        boolean on(Queued queued, int lacking, long wallMicros) {
+            JobSpec spec = queued.job.spec();
+            boolean owed = guaranteed.contains(queued.job)
+                    && wallMicros - queued.job.admittedWallMicros() > GUARANTEE_PATIENCE_MICROS;
+            boolean urgent = spec.rank().above(Rank.NORMAL);
+            long slack = deadlines.slackMicros(queued.job, wallMicros);
+            boolean lastChance = spec.rank() != Rank.BEST_EFFORT && slack >= 0 && slack <= LAST_CHANCE_MICROS;
+            if (!owed && !urgent && !lastChance) {
+                return false;
+            }
+            gather();
+            int needed = lacking - beingFreed(spec);
+            List<Machine> allowed = new ArrayList<>();
+            for (Machine machine : machines) {
+                if (Cluster.allows(spec, machine)) {
+                    allowed.add(machine);
+                }
+            }
+            allowed.sort(Comparator.<Machine>comparingInt(machine -> machine.hasImage(spec) ? 0 : 1)
+                    .thenComparing(Machine::name));
+            if (urgent || lastChance) {
+                // The lowest rank everywhere before the next one anywhere: what only fetches loses no work, but its place.
+                Rank[] ranks = Rank.values();
+                for (int each = ranks.length - 1; each > spec.rank().ordinal() && needed > 0; each--) {
+                    Rank rank = ranks[each];
+                    needed -= stop(spec, needed, allowed, seat -> seat.job().spec().rank() == rank
+                            && (urgent || seat.job().spec().saves()));
+                }
             }
-            JobSpec running = seat.job().spec();
-            if (halts.contains(seat)) {
-                cpus += running.cpus();
-                ram += running.ramGb();
-                cards += running.cards();
-            } else if (running.rank() == rank && !seat.unconfirmed() && !seat.halting()
-                    && (!onlySaving || running.saves())) {
-                victims.add(seat);
+            if (owed && needed > 0) {
+                needed -= stop(spec, needed, allowed, seat -> seat.job().spec().saves() && isBeyond(seat, spec));
+                if (needed > 0) {
+                    stop(spec, needed, allowed, seat -> isBeyond(seat, spec));
+                }
             }
+            return true;
         }
-        victims.sort(Comparator.comparingDouble(seat -> lost(seat, nowMicros)));
-        int before = Machine.fits(spec, cpus, ram, cards);
-        int gained = 0;
-        for (Seat victim : victims) {
-            if (gained >= needed) {
-                break;
+
+        /** True if the task is part of what another team runs beyond its own guarantee. */
+        private boolean isBeyond(Seat seat, JobSpec forWhom) {
+            JobSpec spec = seat.job().spec();
+            if (spec.crew().equals(forWhom.crew()) || guaranteed.contains(seat.job())) {
+                return false;
             }
-            JobSpec freed = victim.job().spec();
-            cpus += freed.cpus();
-            ram += freed.ramGb();
-            cards += freed.cards();
-            halts.add(victim);
-            haltsOn.put(machine.name(), machine);
-            int after = Machine.fits(spec, cpus, ram, cards);
-            gained += after - before;
-            before = after;
-        }
-        return gained;
-    }
+            return left(spec.crew()) >= TeamUse.milli(spec.cpus());
+        }
 
-    /** Tasks of the job that will fit where others are being stopped already. */
-    private int beingFreed(JobSpec spec, long nowMicros) {
-        int count = 0;
-        for (Machine machine : cluster.machines()) {
-            if (!usable(machine, nowMicros)) {
-                continue;
+        private long left(String crew) {
+            return beyond.computeIfAbsent(crew, name -> cluster.book().use().of(name).cpus()
+                    - TeamUse.milli(cluster.team(name) == null ? 0 : cluster.team(name).cpus()));
+        }
+
+        private int stop(JobSpec spec, int needed, List<Machine> allowed, Predicate<Seat> may) {
+            int gained = 0;
+            for (Machine machine : allowed) {
+                if (gained >= needed) {
+                    break;
+                }
+                gained += stop(spec, needed - gained, machine, may);
             }
-            double cpus = 0;
+            return gained;
+        }
+
+        /** Stops tasks on the machine, the least work first, and returns how many of the job's will fit for it. */
+        private int stop(JobSpec spec, int needed, Machine machine, Predicate<Seat> may) {
+            List<Seat> victims = new ArrayList<>();
+            double cpus = machine.freeCpus();
+            double ram = machine.freeRamGb();
+            double cards = machine.freeCards();
             for (Seat seat : machine.seats()) {
-                if (seat.halting() && !seat.ended() && seat.job() != null) {
-                    cpus += seat.job().spec().cpus();
+                if (seat.job() == null || seat.ended()) {
+                    continue;
+                }
+                JobSpec running = seat.job().spec();
+                if (halting.contains(seat)) {
+                    cpus += running.cpus();
+                    ram += running.ramGb();
+                    cards += running.cards();
+                } else if (!seat.unconfirmed() && !seat.halting() && may.test(seat)) {
+                    victims.add(seat);
+                }
+            }
+            cluster.worked(machine.seats().size());
+            if (victims.isEmpty()) {
+                return 0;
+            }
+            victims.sort(Comparator.comparingDouble(seat -> lost(seat, nowMicros)));
+            int before = Machine.fits(spec, cpus, ram, cards);
+            int gained = 0;
+            List<Seat> chosen = new ArrayList<>();
+            for (Seat victim : victims) {
+                if (gained >= needed || !may.test(victim)) {
+                    break;
+                }
+                JobSpec freed = victim.job().spec();
+                cpus += freed.cpus();
+                ram += freed.ramGb();
+                cards += freed.cards();
+                chosen.add(victim);
+                int after = Machine.fits(spec, cpus, ram, cards);
+                if (after > before) {
+                    gained += after - before;
+                    before = after;
+                    chosen.forEach(this::halt);
+                    chosen.clear();
+                }
+            }
+            if (gained > 0) {
+                plan.haltsOn().put(machine.name(), machine);
+            }
+            return gained;
+        }
+
+        private void halt(Seat seat) {
+            JobSpec spec = seat.job().spec();
+            halting.add(seat);
+            plan.halts().add(seat);
+            beyond.put(spec.crew(), left(spec.crew()) - TeamUse.milli(spec.cpus()));
+        }
+
+        /** Tasks of the job that will fit where others are being stopped already. */
+        private int beingFreed(JobSpec spec) {
+            int count = 0;
+            for (Machine machine : freeing) {
+                double cpus = 0;
+                double ram = 0;
+                double cards = 0;
+                for (Seat seat : machine.seats()) {
+                    if (seat.halting() && !seat.ended() && seat.job() != null) {
+                        cpus += seat.job().spec().cpus();
+                        ram += seat.job().spec().ramGb();
+                        cards += seat.job().spec().cards();
+                    }
                 }
+                count += Math.min(Machine.fits(spec, cpus, ram, cards), Integer.MAX_VALUE / 1_000);
             }
-            count += spec.cpus() <= 0 ? 0 : (int) (cpus / spec.cpus());
+            return count;
         }
-        return count;
     }
 
     /** Work that is lost when the task is stopped: what it has done so far, or the time it takes to save that. */
--- a/src/main/java/io/sillreel/statestore/KeyWriter.java
+++ b/src/main/java/io/sillreel/statestore/KeyWriter.java
@@ -8,6 +8,7 @@
 import io.sillreel.statestore.StateStore.Read;
 import io.sillreel.statestore.StateStore.Txn;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,9 @@
  * lost can undo what was written after it.
  */
 public final class KeyWriter {
+    /** What goes first when the store takes less than there is to write. */
+    public enum Urgency { END, START, PROGRESS }
+
     /** Something to be stored under a guarding key. */
     public interface Item {
         /** The key whose stamp guards the change; it is among the changes. */
@@ -31,6 +35,11 @@
         /** What to write now, the guarding key included; null as value removes. Asked for when the write is sent. */
         Map<String, JsonNode> changes();
 
+        /** How urgent the change is that would be written now. */
+        default Urgency urgency() {
+            return Urgency.START;
+        }
+
         /** A key that must not exist, or null. */
         default String absent() {
             return null;
@@ -51,8 +60,12 @@
     private static final int MOST_BYTES = 48 * 1024;
     private static final long GATHER_MICROS = 5_000;
     private static final long RETRY_MICROS = 250_000;
+    private static final long IDLE_MICROS = 50_000;
     /** Writes left over for withdrawals and admissions on this controller. */
     private static final double RESERVE = 2;
+    /** Progress waits so long for more of its kind, and leaves so much of the rate to what can't wait. */
+    private static final long PROGRESS_GATHER_MICROS = 2_000_000;
+    private static final double PROGRESS_RESERVE_PART = 0.3;
 
     private final StateStore store;
     private final Loop loop;
@@ -61,6 +74,7 @@
     private final int txnOps;
     private final Runnable deposed;
     private final Map<String, Item> waiting = new LinkedHashMap<>();
+    private final Map<String, Long> sinceMicros = new HashMap<>();
     private boolean busy;
     private boolean closed;
 
@@ -75,13 +89,20 @@
 
     /** Queues the item unless it waits already. */
     public synchronized void enqueue(Item item) {
-        waiting.putIfAbsent(item.key(), item);
+        add(item);
         kick(GATHER_MICROS);
     }
 
+    private void add(Item item) {
+        if (waiting.putIfAbsent(item.key(), item) == null) {
+            sinceMicros.putIfAbsent(item.key(), loop.nowMicros());
+        }
+    }
+
     public synchronized void close() {
         closed = true;
         waiting.clear();
+        sinceMicros.clear();
     }
 
     public synchronized int backlog() {
@@ -104,8 +125,10 @@
                 return;
             }
             int bytes = 0;
-            double room = Math.min(txnOps, store.writesAvailable() - RESERVE);
-            for (Item item : List.copyOf(waiting.values())) {
+            double available = store.writesAvailable() - RESERVE;
+            for (Item item : inOrder()) {
+                double room = Math.min(txnOps, item.urgency() == Urgency.PROGRESS
+                        ? available - PROGRESS_RESERVE_PART * store.writeBurst() : available);
                 Map<String, JsonNode> changes = item.changes();
                 int size = 0;
                 for (JsonNode value : changes.values()) {
@@ -116,6 +139,7 @@
                 }
                 bytes += size;
                 waiting.remove(item.key());
+                sinceMicros.remove(item.key());
                 batch.add(item);
                 txn.require(item.key(), item.stamp());
                 if (item.absent() != null) {
@@ -131,12 +155,30 @@
             }
         }
         if (batch.isEmpty()) {
-            again(RETRY_MICROS / 2);
+            again(IDLE_MICROS);
             return;
         }
         store.commit(txn).thenAccept(commit -> settle(batch, commit));
     }
 
+    /** What is due, the most urgent first; among equals what has waited longest. */
+    private List<Item> inOrder() {
+        List<List<Item>> byUrgency = new ArrayList<>();
+        for (int i = 0; i < Urgency.values().length; i++) {
+            byUrgency.add(new ArrayList<>());
+        }
+        long now = loop.nowMicros();
+        for (Item item : waiting.values()) {
+            Urgency urgency = item.urgency();
+            if (urgency != Urgency.PROGRESS || now - sinceMicros.get(item.key()) >= PROGRESS_GATHER_MICROS) {
+                byUrgency.get(urgency.ordinal()).add(item);
+            }
+        }
+        List<Item> due = new ArrayList<>();
+        byUrgency.forEach(due::addAll);
+        return due;
+    }
+
     private void again(long delayMicros) {
         synchronized (this) {
             busy = false;
@@ -188,7 +230,7 @@
     }
 
     private synchronized void requeue(Item item) {
-        waiting.putIfAbsent(item.key(), item);
+        add(item);
     }
 
     /** After an unknown outcome the stamps are read anew; a late success then fails the next write, not the data. */
--- a/src/main/java/io/sillreel/statestore/Pacer.java
+++ b/src/main/java/io/sillreel/statestore/Pacer.java
@@ -33,6 +33,10 @@
         return tokens;
     }
 
+    public double burst() {
+        return burst;
+    }
+
     private void refill() {
         long now = loop.nowMicros();
         tokens = Math.min(burst, tokens + perSecond * (now - atMicros) / 1_000_000.0);
--- a/src/main/java/io/sillreel/statestore/StateStore.java
+++ b/src/main/java/io/sillreel/statestore/StateStore.java
@@ -84,6 +84,11 @@
         return writes.available();
     }
 
+    /** The most that may be written at once after a pause. */
+    public double writeBurst() {
+        return writes.burst();
+    }
+
     public CompletableFuture<Read> get(String key) {
         return send(Call.get("/kv/" + key), TIMEOUT_MICROS).thenApply(reply -> {
             Outcome outcome = outcome(reply);
--- a/src/main/java/io/sillreel/workers/Report.java
+++ b/src/main/java/io/sillreel/workers/Report.java
@@ -1,6 +1,9 @@
 package io.sillreel.workers;
 
-import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.sillreel.http.Json;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -14,36 +17,85 @@
     public record PieceState(String uid, int index, long attempt, Stage stage, String cause) {
     }
 
-    /** Reads a report, or returns null if it names no machine. */
-    public static Report of(JsonNode body) {
-        String machine = body.path("hopper").asText();
-        if (machine.isEmpty()) {
+    /** Reads a report, or returns null if it is none. Read as a stream: reports are most of what a controller is sent. */
+    public static Report read(byte[] body) {
+        try (JsonParser in = Json.parser(body)) {
+            return in.nextToken() == JsonToken.START_OBJECT ? read(in) : null;
+        } catch (IOException | NumberFormatException e) {
             return null;
         }
+    }
+
+    private static Report read(JsonParser in) throws IOException {
+        String machine = "";
+        String address = "";
+        String build = "";
+        String yard = "";
+        boolean spot = false;
+        long shift = 0;
+        long tally = 0;
+        long baton = 0;
+        long recallMicros = -1;
+        List<PieceState> pieces = List.of();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String field = in.currentName();
+            JsonToken value = in.nextToken();
+            switch (field) {
+                case "hopper" -> machine = in.getValueAsString("");
+                case "addr" -> address = in.getValueAsString("");
+                case "build" -> build = in.getValueAsString("");
+                case "yard" -> yard = in.getValueAsString("");
+                case "loaners" -> spot = in.getValueAsBoolean();
+                case "shift" -> shift = in.getValueAsLong();
+                case "tally" -> tally = in.getValueAsLong();
+                case "baton" -> baton = in.getValueAsLong();
+                case "recall_s" -> recallMicros =
+                        value.isNumeric() ? Math.round(in.getDoubleValue() * 1_000_000) : -1;
+                case "pieces" -> {
+                    if (value == JsonToken.START_ARRAY) {
+                        pieces = pieces(in);
+                    }
+                }
+                default -> in.skipChildren();
+            }
+        }
+        return machine.isEmpty() ? null
+                : new Report(machine, address, build, yard, spot, shift, tally, baton, recallMicros, pieces);
+    }
+
+    private static List<PieceState> pieces(JsonParser in) throws IOException {
         List<PieceState> pieces = new ArrayList<>();
-        for (JsonNode node : body.path("pieces")) {
-            String piece = node.path("piece").asText();
+        while (in.nextToken() == JsonToken.START_OBJECT) {
+            String piece = "";
+            long attempt = 0;
+            String stage = "";
+            String cause = "";
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String field = in.currentName();
+                in.nextToken();
+                switch (field) {
+                    case "piece" -> piece = in.getValueAsString("");
+                    case "try" -> attempt = in.getValueAsLong();
+                    case "stage" -> stage = in.getValueAsString("");
+                    case "cause" -> cause = in.getValueAsString("");
+                    default -> in.skipChildren();
+                }
+            }
             int slash = piece.lastIndexOf('/');
-            if (slash < 0) {
-                continue;
+            if (slash >= 0) {
+                Stage known = switch (stage) {
+                    case "pulling" -> Stage.PULLING;
+                    case "flushing" -> Stage.FLUSHING;
+                    case "ended" -> Stage.ENDED;
+                    default -> Stage.RUNNING;
+                };
+                pieces.add(new PieceState(piece.substring(0, slash), Integer.parseInt(piece.substring(slash + 1)),
+                        attempt, known, cause));
             }
-            Stage stage = switch (node.path("stage").asText()) {
-                case "pulling" -> Stage.PULLING;
-                case "flushing" -> Stage.FLUSHING;
-                case "ended" -> Stage.ENDED;
-                default -> Stage.RUNNING;
-            };
-            pieces.add(new PieceState(piece.substring(0, slash), Integer.parseInt(piece.substring(slash + 1)),
-                    node.path("try").asLong(), stage, node.path("cause").asText()));
         }
-        JsonNode recall = body.path("recall_s");
-        return new Report(machine, body.path("addr").asText(), body.path("build").asText(),
-                body.path("yard").asText(), body.path("loaners").asBoolean(), body.path("shift").asLong(),
-                body.path("tally").asLong(), body.path("baton").asLong(),
-                recall.isNumber() ? Math.round(recall.asDouble() * 1_000_000) : -1, pieces);
+        return pieces;
     }
 
-
     /** True if this message was made after one with the given numbers. */
     public boolean newerThan(long otherShift, long otherTally) {
         return shift > otherShift || shift == otherShift && tally > otherTally;
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -2,6 +2,7 @@
 
 import io.sillreel.fleet.Machine;
 import io.sillreel.fleet.Seat;
+import io.sillreel.fleet.TeamUse;
 import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
 import io.sillreel.pipeline.ActiveJob;
@@ -15,7 +16,6 @@
 import io.sillreel.workers.Report.PieceState;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
@@ -35,10 +35,13 @@
         /** True if the machine was returned or taken; it can't be there any more. */
         boolean isGone(String machine);
 
+        /** The machine has reported for the first time. */
+        void cameUp(Machine machine);
+
         void progressed();
 
-        /** Brings the plan up to date, so that what a report has freed is given away in its own response. */
-        void refresh();
+        /** Asks the machine itself how far it counts. */
+        void ask(Machine machine);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(ReportDesk.class);
@@ -46,6 +49,11 @@
     private static final int TERM_SHIFT = 32;
     private static final long DRIFT_DIVISOR = 1_000;
     private static final long BOUND_MARGIN_MICROS = 500_000;
+    /** A worker waits so long for the answer to a report. */
+    private static final long OVERTAKEN_MICROS = 4_000_000;
+    /** So many answers in a row without effect send a machine to another controller: the way back may be broken here. */
+    private static final int TRY_ELSEWHERE = 2;
+    private static final int MOST_DEAF_PART = 8;
 
     private final Loop loop;
     private final long term;
@@ -54,13 +62,15 @@
     private final WorkerTimes times;
     private final RetrySchedule retries;
     private final Estimates estimates;
+    private final Planner planner;
     private final Office office;
     private final BooleanSupplier mayAct;
+    private final Reply nothing;
     private long attempts;
     private Planner.Plan plan = Planner.Plan.EMPTY;
 
     public ReportDesk(Loop loop, long term, Cluster cluster, KeyWriter writer, WorkerTimes times,
-            RetrySchedule retries, Estimates estimates, Office office, BooleanSupplier mayAct) {
+            RetrySchedule retries, Estimates estimates, Planner planner, Office office, BooleanSupplier mayAct) {
         this.loop = loop;
         this.term = term;
         this.cluster = cluster;
@@ -70,6 +80,8 @@
         this.estimates = estimates;
         this.office = office;
         this.mayAct = mayAct;
+        this.planner = planner;
+        this.nothing = new Orders().reply(term);
     }
 
     /** The proposal from which the next responses are filled. */
@@ -85,73 +97,174 @@
     /** A report that came by itself, here or through another controller. */
     public Reply report(Report report) {
         synchronized (cluster) {
-            Orders orders = new Orders();
+            long now = loop.nowMicros();
             Machine machine = cluster.machine(report.machine());
             if (machine == null) {
-                if (office.isGone(report.machine())) {
-                    return orders.reply(term);
-                }
-                machine = office.adopt(report);
-                if (machine == null) {
-                    return Reply.later(503, "machine type " + report.build() + " is not known", 1);
-                }
+                return stranger(report);
             }
-            long now = loop.nowMicros();
-            machine.aliveUntil(aliveUntil(now));
-            // An older message says nothing new, and a machine that has not seen this term may still obey an earlier one.
-            if (!machine.advance(report, now) || report.baton() != term) {
-                return orders.reply(term);
+            if (!machine.advance(report, false, now)) {
+                return notNewer(machine, report, now);
+            }
+            cluster.worked(report.pieces().size() + 1);
+            office.cameUp(machine);
+            if (report.baton() != term) {
+                return unheard(machine, now);
             }
             take(machine, report, true, now);
-            office.refresh();
+            if (deaf(machine)) {
+                return giveUp(machine);
+            }
+            if (machine.unheededCount() == TRY_ELSEWHERE) {
+                machine.unheeded();
+                return Reply.later(503, "earlier answers did not arrive", 1);
+            }
+            machine.answered(aliveUntil(now));
+            Orders orders = new Orders();
             command(machine, orders);
             if (mayAct.getAsBoolean()) {
                 launch(machine, report, orders, now);
             }
-            return orders.reply(term);
+            return orders.isEmpty() ? nothing : orders.reply(term);
+        }
+    }
+
+    /**
+     * A machine that no stored hire names holds nothing of ours. It is used once it shows the current token: a copy of an
+     * old report, of a machine that was returned since, never does.
+     */
+    private Reply stranger(Report report) {
+        if (office.isGone(report.machine())) {
+            return Reply.later(503, "the machine was returned", 1);
+        }
+        if (report.baton() == term && office.adopt(report) == null) {
+            return Reply.later(503, "machine type " + report.build() + " is not known", 1);
+        }
+        return nothing;
+    }
+
+    /**
+     * An older message, or a copy, says nothing new and must extend no bound, so it is not answered 200. The exception is
+     * a report that the answer to a direct command has just overtaken: its worker still waits.
+     */
+    private Reply notNewer(Machine machine, Report report, long now) {
+        if (machine.overtaken(report, OVERTAKEN_MICROS, now)) {
+            machine.answered(aliveUntil(now));
+            return nothing;
+        }
+        if (machine.countsAnew(report)) {
+            office.ask(machine);
+        }
+        return Reply.later(503, "a newer report was seen", 1);
+    }
+
+    /** The machine does not know this term yet: it may still obey an earlier holder. It is told, but not without end. */
+    private Reply unheard(Machine machine, long now) {
+        if (deaf(machine)) {
+            return giveUp(machine);
+        }
+        machine.unheeded();
+        machine.answered(aliveUntil(now));
+        return nothing;
+    }
+
+    /** True if the machine alone, or with few others, hears nothing; if many do, the fault is on this side. */
+    private boolean deaf(Machine machine) {
+        if (!machine.deaf()) {
+            return false;
+        }
+        long deaf = cluster.machines().stream().filter(Machine::deaf).count();
+        return deaf <= Math.max(2, cluster.machines().size() / MOST_DEAF_PART);
+    }
+
+    /** It hears nothing: not answering lets its lease, and with it its tasks, run out; then it goes back. */
+    private Reply giveUp(Machine machine) {
+        if (machine.state() == Machine.State.UP) {
+            LOG.info("machine {} ({}) hears nothing of what it is told", machine.name(), machine.type().name());
+            office.progressed();
+            if (machine.trusted()) {
+                machine.leave("it hears nothing");
+            } else {
+                machine.condemn("it hears nothing");
+            }
         }
+        return Reply.later(503, "earlier answers did not arrive", 1);
     }
 
     /** The report in the answer to a direct command. It can't show that a launch did not happen. */
     public void answered(Report report) {
         synchronized (cluster) {
             Machine machine = cluster.machine(report.machine());
-            if (machine != null && report.baton() == term && machine.advance(report, loop.nowMicros())) {
+            if (machine != null && report.baton() == term && machine.advance(report, true, loop.nowMicros())) {
                 take(machine, report, false, loop.nowMicros());
             }
         }
     }
 
+    /**
+     * What the machine said when it was asked how far it counts: less than it had counted when it was asked means that it
+     * is a new life of it, and that what ran in the old one is gone.
+     */
+    public void asked(Report report, long shiftBefore, long tallyBefore) {
+        synchronized (cluster) {
+            Machine machine = cluster.machine(report.machine());
+            if (machine == null || report.newerThan(shiftBefore, tallyBefore)) {
+                return;
+            }
+            LOG.info("machine {} is back and counts anew, {} tasks go back", machine.name(), machine.seats().size());
+            clear(machine);
+            machine.reborn();
+        }
+    }
+
     private void take(Machine machine, Report report, boolean ownReport, long now) {
         if (!machine.trusted()) {
             machine.trust();
-            LOG.info("machine {} ({}, {}) heard with {} tasks", machine.name(), machine.type().name(), machine.yard(),
+            machine.heeded();
+            cluster.cleared(machine);
+            LOG.debug("machine {} ({}, {}) heard with {} tasks", machine.name(), machine.type().name(), machine.yard(),
                     report.pieces().size());
             office.progressed();
         }
         Set<Seat> shown = new HashSet<>();
+        boolean heeded = false;
+        boolean unheeded = false;
         for (PieceState piece : report.pieces()) {
             Seat seat = machine.seat(piece.uid(), piece.index(), piece.attempt());
             if (seat == null) {
                 seat = found(machine, piece, now);
             } else if (!seat.ended()) {
+                heeded |= seat.unconfirmed();
                 seat.seen(piece.stage(), now);
                 if (seat.ended()) {
                     ended(machine, seat, piece.cause(), now);
                 }
+            } else if (ownReport && seat.reapTally() > 0 && seat.reapTally() < report.tally()) {
+                unheeded = true;
             }
             shown.add(seat);
         }
-        for (Seat seat : List.copyOf(machine.seats())) {
-            boolean neverStarted = seat.unconfirmed() && ownReport && seat.launchTally() < report.tally();
-            if (!shown.contains(seat) && (neverStarted || !seat.unconfirmed())) {
-                vacate(machine, seat, now);
+        if (shown.size() < machine.seats().size()) {
+            for (Seat seat : List.copyOf(machine.seats())) {
+                boolean neverStarted = seat.unconfirmed() && ownReport && seat.launchTally() < report.tally();
+                if (!shown.contains(seat) && (neverStarted || !seat.unconfirmed())) {
+                    unheeded |= neverStarted;
+                    heeded |= !neverStarted;
+                    vacate(machine, seat);
+                }
             }
         }
+        if (heeded) {
+            machine.heeded();
+        } else if (unheeded) {
+            machine.unheeded();
+        }
     }
 
     private Seat found(Machine machine, PieceState piece, long now) {
         ActiveJob job = cluster.job(piece.uid());
+        if (job != null && (piece.index() < 0 || piece.index() >= job.spec().pieces())) {
+            job = null;
+        }
         boolean elsewhere = job != null && job.isSeated(piece.index());
         Seat seat = Seat.found(job, piece.uid(), piece.index(), piece.attempt(), piece.stage(), now);
         machine.add(seat);
@@ -226,8 +339,8 @@
         }
     }
 
-    private void vacate(Machine machine, Seat seat, long now) {
-        machine.remove(seat, now);
+    private void vacate(Machine machine, Seat seat) {
+        machine.remove(seat);
         seat.release();
         office.progressed();
     }
@@ -243,6 +356,7 @@
             if (seat.ended()) {
                 // The worker is the only one to know of a completion until the store does.
                 if (idle || !job.isDone(seat.index()) || job.isStored(seat.index())) {
+                    seat.reapOrdered(machine.tally());
                     orders.reap(seat.uid(), seat.index(), seat.attempt());
                 }
             } else if (seat.unconfirmed()) {
@@ -257,17 +371,28 @@
         }
     }
 
+    /** Gives the machine what the plan has for it, and what it had no room for elsewhere as far as there is room here. */
     private void launch(Machine machine, Report report, Orders orders, long now) {
-        List<Assignment> assignments = plan.launches().get(machine.name());
-        if (assignments == null || machine.state() != Machine.State.UP || machine.recalled()
-                || !machine.hire().isStored(machine.name())) {
+        List<Assignment> planned = plan.launches().remove(machine.name());
+        if (!planner.usable(machine, now)) {
             return;
         }
-        plan.launches().remove(machine.name());
-        Map<String, long[]> usage = cluster.usage(now);
+        if (planned != null) {
+            launch(machine, planned, report, orders, now);
+        }
+        if (machine.freeCpus() > 0) {
+            List<Assignment> left = planner.fill(plan, machine, now, loop.wallMicros());
+            if (!left.isEmpty()) {
+                launch(machine, left, report, orders, now);
+            }
+        }
+    }
+
+    private void launch(Machine machine, List<Assignment> assignments, Report report, Orders orders, long now) {
+        TeamUse usage = cluster.usage();
         for (Assignment assignment : assignments) {
             ActiveJob job = assignment.job();
-            if (!cluster.launchable(job, now, loop.wallMicros()) || !Cluster.allows(job.spec(), machine)) {
+            if (!cluster.launchable(job, loop.wallMicros()) || !Cluster.allows(job.spec(), machine)) {
                 continue;
             }
             int count = Math.min(assignment.count(), Math.min(machine.room(job.spec()),
@@ -279,7 +404,7 @@
                 }
                 long attempt = (term << TERM_SHIFT) + ++attempts;
                 machine.add(Seat.launched(job, piece, attempt, report.tally(), now));
-                Cluster.take(usage, job.spec(), 1);
+                usage.take(job.spec(), 1);
                 orders.launch(job.uid(), piece, attempt);
             }
         }
@@ -312,6 +437,7 @@
         for (Machine machine : cluster.machines()) {
             if (machine.leaseBoundMicros() <= now) {
                 machine.endSession();
+                cluster.cleared(machine);
                 if (!machine.seats().isEmpty()) {
                     LOG.info("machine {} is silent beyond its lease, {} tasks go back", machine.name(),
                             machine.seats().size());
@@ -323,7 +449,7 @@
 
     /** All tasks of the machine are certainly gone. */
     public void clear(Machine machine) {
-        machine.clearSeats(loop.nowMicros()).forEach(Seat::release);
+        machine.clearSeats().forEach(Seat::release);
         office.progressed();
     }
 }
--- /dev/null
+++ b/src/main/java/io/sillreel/workers/ReportRelay.java
@@ -0,0 +1,115 @@
+package io.sillreel.workers;
+
+import io.sillreel.http.Call;
+import io.sillreel.http.Caller;
+import io.sillreel.http.Loop;
+import io.sillreel.http.Reply;
+import io.sillreel.peer.PeerMessages;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Hands workers' reports on to the lease holder, many in one request, and each worker the answer that was decided there.
+ * A batch that gets no answer is refused to its workers as 503: what it carried was then decided for nobody, and the
+ * workers' next reports show that.
+ */
+public final class ReportRelay {
+    private static final long GATHER_MICROS = 15_000;
+    private static final long TIMEOUT_MICROS = 2_500_000;
+    private static final int MOST_REPORTS = 64;
+    private static final int BATCHES_AT_ONCE = 2;
+    /** After a batch was lost nothing is handed on for so long. */
+    private static final long BROKEN_MICROS = 2_000_000;
+    private static final Reply LOST = Reply.later(503, "the lease holder can't be reached", 1);
+
+    private record Waiting(Report report, CompletableFuture<Reply> answer) {
+    }
+
+    private final Loop loop;
+    private final Caller caller;
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private String leader = "";
+    private int batches;
+    private boolean gathering;
+    private long brokenUntilMicros = Long.MIN_VALUE;
+    private long passed;
+    private long lost;
+
+    public ReportRelay(Loop loop, Caller caller) {
+        this.loop = loop;
+        this.caller = caller;
+    }
+
+    /** True unless the last batch to this lease holder was lost a moment ago. */
+    public synchronized boolean works(String leaderAddress) {
+        return !leader.equals(leaderAddress) || loop.nowMicros() >= brokenUntilMicros;
+    }
+
+    public synchronized long passed() {
+        return passed;
+    }
+
+    public synchronized long lost() {
+        return lost;
+    }
+
+    public CompletableFuture<Reply> pass(Report report, String leaderAddress) {
+        CompletableFuture<Reply> answer = new CompletableFuture<>();
+        synchronized (this) {
+            if (!leader.equals(leaderAddress)) {
+                leader = leaderAddress;
+                brokenUntilMicros = Long.MIN_VALUE;
+            }
+            waiting.add(new Waiting(report, answer));
+            if (gathering || batches >= BATCHES_AT_ONCE) {
+                return answer;
+            }
+            gathering = true;
+        }
+        loop.after(GATHER_MICROS, this::send);
+        return answer;
+    }
+
+    private void send() {
+        List<Waiting> batch = new ArrayList<>();
+        List<Report> reports = new ArrayList<>();
+        String to;
+        synchronized (this) {
+            gathering = false;
+            while (!waiting.isEmpty() && batch.size() < MOST_REPORTS) {
+                batch.add(waiting.peek());
+                reports.add(waiting.poll().report());
+            }
+            if (batch.isEmpty()) {
+                return;
+            }
+            batches++;
+            to = leader;
+        }
+        Call call = PeerMessages.beats(reports);
+        caller.call(to, call, TIMEOUT_MICROS).thenAccept(reply -> {
+            List<Reply> replies = reply.ok() ? PeerMessages.replies(reply.body()) : List.of();
+            boolean more;
+            synchronized (this) {
+                batches--;
+                if (replies.size() != batch.size()) {
+                    lost += batch.size();
+                    brokenUntilMicros = to.equals(leader) ? loop.nowMicros() + BROKEN_MICROS : brokenUntilMicros;
+                } else {
+                    passed += batch.size();
+                }
+                more = !waiting.isEmpty() && !gathering;
+                gathering |= more;
+            }
+            for (int i = 0; i < batch.size(); i++) {
+                batch.get(i).answer().complete(replies.size() == batch.size() ? replies.get(i) : LOST);
+            }
+            if (more) {
+                loop.after(0, this::send);
+            }
+        });
+    }
+}
--- a/src/test/java/io/sillreel/workers/ReportStoriesTest.java
+++ b/src/test/java/io/sillreel/workers/ReportStoriesTest.java
@@ -137,17 +137,22 @@
     @Test
     void aSlowMachineIsReturnedAndAWrongEstimateIsNotHeldAgainstIt() {
         world.seconds(2);
-        world.submit(0, World.job("job-000001", 2));
+        world.submit(0, World.job("job-000001", 4));
         SimWorker worker = firstBusyMachine();
+        world.until(() -> world.stage(0, "job-000001").equals("done"));
+        world.submit(0, World.job("job-000002", 2));
+        world.until(() -> !worker.running().isEmpty());
         worker.prolong(15_000_000);
-        world.seconds(22);
+        world.seconds(20);
         assertThat(world.cloud().machines()).containsKey(worker.name());
-        worker.runMicros(20_000_000);
-        world.submit(0, World.job("job-000002", 1));
+        worker.runMicros(30_000_000);
         world.submit(0, World.job("job-000003", 1));
-        world.seconds(40);
+        world.submit(0, World.job("job-000004", 1));
+        // Returned when its tasks have ended, long before an idle machine would be.
+        world.seconds(36);
         assertThat(world.cloud().machines()).doesNotContainKey(worker.name());
-        assertThat(world.stage(0, "job-000003")).isEqualTo("done");
+        world.seconds(10);
+        assertThat(world.stage(0, "job-000004")).isEqualTo("done");
     }
 
     /** Guards the worst case: a machine that a new leader has not heard of may run anything of the team's. */
