--- a/src/main/java/io/sillreel/placement/Deadlines.java
+++ b/src/main/java/io/sillreel/placement/Deadlines.java
@@ -33,7 +33,9 @@
         long last = -1;
         for (Objective aim : objectives) {
             if (aim.jobClass().equals(spec.lot()) && aim.withinMicros() > 0) {
-                long at = job.admittedWallMicros() + aim.withinMicros();
+                // An aim for starting leaves the whole run after it.
+                long at = job.admittedWallMicros() + aim.withinMicros()
+                        + (aim.kind().equals("wait") ? estimates.expectedMicros(spec) : 0);
                 last = Math.max(last, at);
                 if (at >= reachable) {
                     first = Math.min(first, at);
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -197,12 +197,14 @@
     /**
      * What the machine said when it was asked how far it counts: less than it had counted when it was asked means that it
      * is a new life of it, and that what ran in the old one is gone. It goes back: copies of reports from its old life,
-     * which count higher, could not be told from later ones of the new.
+     * which count higher, could not be told from later ones of the new. If reports have been taken since it was asked, the
+     * answer is older than they are and says nothing: its new life may have been given tasks already.
      */
     public void asked(Report report, long shiftBefore, long tallyBefore) {
         synchronized (cluster) {
             Machine machine = cluster.machine(report.machine());
-            if (machine == null || report.newerThan(shiftBefore, tallyBefore)) {
+            if (machine == null || machine.shift() != shiftBefore || machine.tally() != tallyBefore
+                    || report.newerThan(shiftBefore, tallyBefore)) {
                 return;
             }
             LOG.info("machine {} is back and counts anew, {} tasks go back", machine.name(), machine.seats().size());
--- a/src/test/java/io/sillreel/sim/SimWorker.java
+++ b/src/test/java/io/sillreel/sim/SimWorker.java
@@ -50,6 +50,7 @@
     private long leaseFromMicros;
     private long lastReportMicros;
     private boolean inFlight;
+    private int life;
     private boolean faulty;
     private long runMicros = 3_000_000;
 
@@ -99,11 +100,14 @@
 
     /** The machine starts again at once: what ran is gone, and it counts from the beginning. */
     public void reboot() {
+        life++;
+        inFlight = false;
         tasks.clear();
         shift = 1;
         tally = 0;
         baton = 0;
         leaseFromMicros = world.time().nowMicros();
+        process.after(1_000, this::report);
     }
 
     /** How many tasks ran out with a lease, or were lost with a reboot. */
@@ -167,10 +171,13 @@
         lastReportMicros = now;
         tally++;
         long sentShift = shift;
+        int sentLife = life;
         Call call = Call.post("/agent/beat", body());
         caller.call(world.publicAddress(node), call, ANSWER_MICROS).thenAccept(reply -> {
-            inFlight = false;
-            answered(reply, now, sentShift);
+            if (sentLife == life) {
+                inFlight = false;
+                answered(reply, now, sentShift);
+            }
         });
     }
 
