--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -30,6 +30,8 @@
     private static final double SMALLEST_MISSING = 0.5;
     /** New machines are rented for late work as if it had time for so many of its tasks, one after the other. */
     private static final int LATE_TASKS = 2;
+    /** Machines are given up only if this much more than is wanted stays. */
+    private static final double SPARE_FACTOR = 1.1;
     /** An ordinary machine is given this long to prove useful. */
     private static final long SETTLED_MICROS = 30_000_000;
 
@@ -271,8 +273,8 @@
                 }
             }
         }
-        double needed = Math.max(busyCpus(), standingCpus(wallMicros));
-        double spare = have - Math.max(wantedCpus(wallMicros), needed);
+        // What is busy is not therefore needed: work that can wait would else keep dear machines for as long as it lasts.
+        double spare = have - Math.max(SPARE_FACTOR * wantedCpus(wallMicros), standingCpus(wallMicros));
         candidates.sort(Comparator.<Machine>comparingDouble(machine ->
                         -machine.type().priceOf(machine.spot()) / machine.type().cpus())
                 .thenComparingInt(Machine::liveCount));
