--- a/src/main/java/io/sillreel/placement/Demand.java
+++ b/src/main/java/io/sillreel/placement/Demand.java
@@ -11,7 +11,7 @@
 public final class Demand {
     private static final long SLICE_MICROS = 25_000_000;
     private static final int SLICES = 6;
-    private static final int LEAST_SLICES = 3;
+    private static final int LEAST_SLICES = 4;
 
     private record Arrival(long wallMicros, double cpuMicros) {
     }
@@ -40,7 +40,8 @@
             sum += arrival.cpuMicros();
             most = Math.max(most, slices[slice]);
         }
-        long seen = Math.min(SLICES, Math.max(LEAST_SLICES, 1 + (wallMicros - firstMicros) / SLICE_MICROS));
-        return (sum - most) / ((seen - 1) * SLICE_MICROS);
+        long seen = Math.min(SLICES, 1 + (wallMicros - firstMicros) / SLICE_MICROS);
+        // Too little is known at first: then a backlog is as good a guess as any of what will come.
+        return seen < LEAST_SLICES ? sum / (SLICES * SLICE_MICROS) : (sum - most) / ((seen - 1) * SLICE_MICROS);
     }
 }
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -57,7 +57,10 @@
     /** How long guaranteed work waits on others before it goes ahead of them. */
     private static final long GUARANTEE_PATIENCE_MICROS = 2_000_000;
     private static final long REPORT_SILENCE_FACTOR = 3;
-    private static final int LEVELS_PER_RANK = 2;
+    private static final int LEVELS_PER_RANK = 3;
+    private static final int PRESSING = 0;
+    private static final int IN_TIME = 1;
+    private static final int LATE = 2;
     /** A low rank yields until its work has so little time left to start. */
     private static final long URGENT_MICROS = 20_000_000;
     /** Work with less time than this does not wait for a place that has its image. */
@@ -256,23 +259,25 @@
     }
 
     /**
-     * The exceptions from the order of admission: ranks; guaranteed work that waits too long; work of a low rank that
-     * would miss its time if it yielded any longer; and work that has missed it, which yields to what can still make it.
-     * Level 0 is for what has waited too long.
+     * The exceptions from the order of admission: ranks; guaranteed work that waits too long; within a rank, work that is
+     * about to miss its time, before the rest, and work that has missed it, after the rest; work of a low rank that would
+     * miss its time if it yielded any longer. Level 0 is for what has waited too long.
      */
     private int level(ActiveJob job, long slack, boolean guaranteed, long wallMicros) {
         Rank rank = job.spec().rank();
-        int level = 1 + LEVELS_PER_RANK * rank.ordinal();
-        if (guaranteed && wallMicros - job.admittedWallMicros() > GUARANTEE_PATIENCE_MICROS) {
-            return Math.min(level, 1 + LEVELS_PER_RANK * Rank.HIGH.ordinal());
-        }
-        if (wallMicros - job.admittedWallMicros() > YIELD_UNTIL_MICROS) {
-            return Math.min(level, 1 + LEVELS_PER_RANK * Rank.NORMAL.ordinal());
+        long age = wallMicros - job.admittedWallMicros();
+        int level = levelOf(rank, slack < 0 ? LATE : slack < PRESSING_MICROS ? PRESSING : IN_TIME);
+        if (guaranteed && age > GUARANTEE_PATIENCE_MICROS) {
+            return Math.min(level, levelOf(Rank.HIGH, IN_TIME));
         }
-        if (slack < 0) {
-            return level + 1;
+        if (age > YIELD_UNTIL_MICROS) {
+            return Math.min(level, levelOf(Rank.NORMAL, PRESSING));
         }
-        return rank == Rank.BEST_EFFORT && slack < URGENT_MICROS ? LEVELS_PER_RANK * Rank.NORMAL.ordinal() + 2 : level;
+        return rank == Rank.BEST_EFFORT && slack >= 0 && slack < URGENT_MICROS ? levelOf(Rank.NORMAL, LATE) : level;
+    }
+
+    private static int levelOf(Rank rank, int time) {
+        return 1 + LEVELS_PER_RANK * rank.ordinal() + time;
     }
 
     /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
