A machine that reports after a takeover but does not hear is returned like a silent one

Cause: deaf at a takeover, a machine reports every five seconds and counted as heard of; it held up jobs of the earlier term for 25 s (story aMachineThatHearsNothingDoesNotHoldUpATakeover). The stories need more tasks for a fleet now.

--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -165,8 +165,9 @@
     }
 
     /**
-     * Most machines report within seconds of a takeover. The few that don't would hold up every job of an earlier term for
-     * as long as their leases might last; once the cloud has taken them back, it is certain that nothing runs there.
+     * Most machines report within seconds of a takeover, and again with the new token. The few that don't, or that report
+     * and don't hear the answer, would hold up every job of an earlier term for as long as their leases might last; once
+     * the cloud has taken them back, it is certain that nothing runs there.
      */
     private void retireUnheard(long now) {
         long patience = Math.max(LEAST_UNHEARD_MICROS, 2 * settings.workers().reportMicros() + 4_000_000);
@@ -175,8 +176,8 @@
             return;
         }
         for (Machine machine : cluster.unheard()) {
-            if (machine.lastReportMicros() < 0 && !machine.condemned()) {
-                leave(machine, "it has not been heard since the term began");
+            if (now - Math.max(machine.upMicros(), begunMicros) > patience && !machine.condemned()) {
+                leave(machine, "it has not been heard, or does not hear, since the term began");
                 machine.condemn("unheard");
             }
         }
--- a/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
+++ b/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
@@ -44,7 +44,7 @@
     @Test
     void aMachineThatHearsNothingDoesNotHoldUpATakeover() {
         world.seconds(2);
-        world.submit(0, World.job("job-000001", 30));
+        world.submit(0, World.job("job-000001", 90));
         world.until(() -> world.cloud().machines().size() >= 5 && world.starts() >= 15);
         SimWorker worker = world.cloud().machines().firstEntry().getValue();
         worker.prolong(300_000_000);
@@ -62,7 +62,7 @@
     @Test
     void theFewMachinesThatStaySilentAfterATakeoverAreReturnedAndHoldUpNobody() {
         world.seconds(2);
-        world.submit(0, World.job("job-000001", 40));
+        world.submit(0, World.job("job-000001", 90));
         world.until(() -> world.cloud().machines().size() >= 5 && world.starts() >= 15);
         String silent = world.cloud().machines().firstKey();
         world.cloud().machines().get(silent).prolong(300_000_000);
@@ -158,7 +158,7 @@
     void workersAreSpreadAndEvenOutAgain() {
         World many = new World(12, 0, 5);
         many.seconds(2);
-        many.submit(0, World.job("job-000001", 80));
+        many.submit(0, World.job("job-000001", 400));
         many.until(() -> {
             many.cloud().machines().values().forEach(worker -> worker.runMicros(90_000_000));
             return many.cloud().machines().size() >= 18;
