--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -30,10 +30,6 @@
     private static final double SMALLEST_MISSING = 0.5;
     /** New machines are rented for late work as if it had time for so many of its tasks, one after the other. */
     private static final int LATE_TASKS = 2;
-    /** Machines are given up only if this much more than is wanted stays. */
-    private static final double SPARE_FACTOR = 1.1;
-    /** Arrivals come in lumps: so much more than their mean is reckoned with. */
-    private static final double STANDING_FACTOR = 1.3;
     /** An ordinary machine is given this long to prove useful. */
     private static final long SETTLED_MICROS = 30_000_000;
 
@@ -75,7 +71,7 @@
         double above = 0;
         for (Rank rank : Rank.values()) {
             yielded.put(rank, above);
-            above += demand.containsKey(rank) ? STANDING_FACTOR * demand.get(rank).cpus(wallMicros) : 0;
+            above += demand.containsKey(rank) ? demand.get(rank).cpus(wallMicros) : 0;
         }
         List<Load> loads = new ArrayList<>();
         for (ActiveJob job : cluster.jobs()) {
@@ -89,7 +85,7 @@
             long left = deadlines.of(job, wallMicros, bootMicros) - wallMicros - each / 2;
             if (left < bootMicros + each) {
                 // It is late whatever is done; it still wants doing soon, but does not call for a crowd of machines.
-                left = bootMicros + LATE_TASKS * each;
+                left = bootMicros > 0 ? bootMicros + LATE_TASKS * each : each;
             }
             loads.add(new Load(spec.rank(), work, left, yielded.get(spec.rank())));
         }
@@ -110,7 +106,7 @@
 
     /** Processors that arriving work keeps busy on the long run. */
     public double standingCpus(long wallMicros) {
-        return STANDING_FACTOR * demand.values().stream().mapToDouble(each -> each.cpus(wallMicros)).sum();
+        return demand.values().stream().mapToDouble(each -> each.cpus(wallMicros)).sum();
     }
 
     /** Processors to add so that what those at hand can't do in time is done by new ones after their boot. */
@@ -275,8 +271,8 @@
                 }
             }
         }
-        // What is busy is not therefore needed: work that can wait would else keep dear machines for as long as it lasts.
-        double spare = have - Math.max(SPARE_FACTOR * wantedCpus(wallMicros), standingCpus(wallMicros));
+        double needed = Math.max(busyCpus(), standingCpus(wallMicros));
+        double spare = have - Math.max(wantedCpus(wallMicros), needed);
         candidates.sort(Comparator.<Machine>comparingDouble(machine ->
                         -machine.type().priceOf(machine.spot()) / machine.type().cpus())
                 .thenComparingInt(Machine::liveCount));
