--- a/src/main/java/io/sillreel/pipeline/ActiveJob.java
+++ b/src/main/java/io/sillreel/pipeline/ActiveJob.java
@@ -42,6 +42,9 @@
     private int doneCount;
     private int seatedCount;
     private int takenCount;
+    private int ranCount;
+    private long ranMicros;
+    private long longestMicros;
     private long runStamp;
     private boolean released;
     private boolean inherited;
@@ -209,6 +212,27 @@
         return spec.pieces() - takenCount;
     }
 
+    /** One of the job's tasks has ended after it ran for so long. */
+    public void ran(long micros) {
+        ranCount++;
+        ranMicros += micros;
+        longestMicros = Math.max(longestMicros, micros);
+    }
+
+    /** How many of its tasks have been seen to run and end in this term. */
+    public int ranCount() {
+        return ranCount;
+    }
+
+    /** How long they ran in all. */
+    public long ranMicros() {
+        return ranMicros;
+    }
+
+    public long longestMicros() {
+        return longestMicros;
+    }
+
     public long nextWallMicros() {
         return nextWallMicros;
     }
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -79,7 +79,7 @@
                 continue;
             }
             JobSpec spec = job.spec();
-            long each = estimates.occupiedMicros(spec);
+            long each = estimates.occupiedMicros(job);
             double work = (job.waitingCount() + RUNNING_PART * job.seatedCount()) * spec.cpus() * each;
             // Whole tasks don't fill the time to the end.
             long left = deadlines.of(job, wallMicros, bootMicros) - wallMicros - each / 2;
--- a/src/main/java/io/sillreel/placement/Deadlines.java
+++ b/src/main/java/io/sillreel/placement/Deadlines.java
@@ -28,14 +28,14 @@
         if (spec.dueMicros() >= 0) {
             return job.admittedWallMicros() + spec.dueMicros();
         }
-        long reachable = wallMicros + delayMicros + estimates.expectedMicros(spec);
+        long reachable = wallMicros + delayMicros + estimates.slowestMicros(job);
         long first = Long.MAX_VALUE;
         long last = -1;
         for (Objective aim : objectives) {
             if (aim.jobClass().equals(spec.lot()) && aim.withinMicros() > 0) {
                 // An aim for starting leaves the whole run after it.
                 long at = job.admittedWallMicros() + aim.withinMicros()
-                        + (aim.kind().equals("wait") ? estimates.expectedMicros(spec) : 0);
+                        + (aim.kind().equals("wait") ? estimates.slowestMicros(job) : 0);
                 last = Math.max(last, at);
                 if (at >= reachable) {
                     first = Math.min(first, at);
@@ -50,6 +50,6 @@
 
     /** How long the job's last tasks may still wait to be started; negative once the deadline can't be met. */
     public long slackMicros(ActiveJob job, long wallMicros) {
-        return of(job, wallMicros) - wallMicros - estimates.expectedMicros(job.spec());
+        return of(job, wallMicros) - wallMicros - estimates.slowestMicros(job);
     }
 }
--- a/src/main/java/io/sillreel/placement/Estimates.java
+++ b/src/main/java/io/sillreel/placement/Estimates.java
@@ -1,10 +1,11 @@
 package io.sillreel.placement;
 
+import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
 import java.util.HashMap;
 import java.util.Map;
 
-/** Owners' estimates, corrected by what tasks of the same class have measured. */
+/** Owners' estimates, corrected by what tasks of the same class, and of the job itself, have measured. */
 public final class Estimates {
     private static final double WEIGHT = 0.1;
     private static final double LEAST = 0.3;
@@ -12,24 +13,57 @@
     private static final long HANDLING_MICROS = 1_500_000;
     /** A fetch is shared by all tasks of the job on the machine, so little of it falls on each. */
     private static final double FETCH_MICROS_PER_GB = 1_000_000;
+    /** What the class says weighs as much as so many measured tasks of the job. */
+    private static final int CLASS_TASKS = 2;
+    /** How much longer than the mean a job's slowest task takes, until its class has shown that. */
+    private static final double FIRST_TAIL = 1.2;
+    private static final double MOST_TAIL = 2;
+    private static final int LEAST_TASKS_OF_A_TAIL = 5;
 
     private final Map<String, Double> ratios = new HashMap<>();
+    private final Map<String, Double> tails = new HashMap<>();
 
-    public synchronized void measured(JobSpec spec, long ranMicros) {
-        if (spec.guessMicros() <= 0) {
-            return;
+    /** A task of the job has ended after it ran for so long. */
+    public synchronized void measured(ActiveJob job, long ranMicros) {
+        JobSpec spec = job.spec();
+        job.ran(ranMicros);
+        if (spec.guessMicros() > 0) {
+            double ratio = Math.max(LEAST, Math.min(MOST, (double) ranMicros / spec.guessMicros()));
+            ratios.merge(spec.lot(), ratio, (old, now) -> old + WEIGHT * (now - old));
+        }
+        if (job.ranCount() >= LEAST_TASKS_OF_A_TAIL && job.ranCount() == spec.pieces()) {
+            double tail = Math.min(MOST_TAIL, (double) job.longestMicros() * job.ranCount() / job.ranMicros());
+            tails.merge(spec.lot(), tail, (old, now) -> old + WEIGHT * (now - old));
         }
-        double ratio = Math.max(LEAST, Math.min(MOST, (double) ranMicros / spec.guessMicros()));
-        ratios.merge(spec.lot(), ratio, (old, now) -> old + WEIGHT * (now - old));
     }
 
     /** How long a task is expected to keep its place: with its part of the image fetch, and the reports around it. */
     public long occupiedMicros(JobSpec spec) {
-        return expectedMicros(spec) + HANDLING_MICROS + Math.round(spec.imageGb() * FETCH_MICROS_PER_GB);
+        return expectedMicros(spec) + overheadMicros(spec);
+    }
+
+    /** The same, with what the job's own tasks have shown. */
+    public long occupiedMicros(ActiveJob job) {
+        return expectedMicros(job) + overheadMicros(job.spec());
+    }
+
+    private static long overheadMicros(JobSpec spec) {
+        return HANDLING_MICROS + Math.round(spec.imageGb() * FETCH_MICROS_PER_GB);
     }
 
-    /** How long a task of the job is expected to run, without its image fetch. */
+    /** How long a task like the job's is expected to run, without its image fetch. */
     public synchronized long expectedMicros(JobSpec spec) {
         return Math.max(1_000_000, Math.round(spec.guessMicros() * ratios.getOrDefault(spec.lot(), 1.0)));
     }
+
+    /** How long a task of the job is expected to run, from its class and from its own tasks that have ended. */
+    public long expectedMicros(ActiveJob job) {
+        return (CLASS_TASKS * expectedMicros(job.spec()) + job.ranMicros()) / (CLASS_TASKS + job.ranCount());
+    }
+
+    /** How long the slowest of the job's tasks is expected to run: the job is not done before. */
+    public synchronized long slowestMicros(ActiveJob job) {
+        double tail = job.spec().pieces() < LEAST_TASKS_OF_A_TAIL ? 1 : tails.getOrDefault(job.spec().lot(), FIRST_TAIL);
+        return Math.round(expectedMicros(job) * tail);
+    }
 }
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -286,7 +286,7 @@
                 if (seat.runningSinceMicros() >= 0) {
                     long ran = now - seat.runningSinceMicros();
                     machine.ran((double) ran / estimates.expectedMicros(job.spec()), job.uid());
-                    estimates.measured(job.spec(), ran);
+                    estimates.measured(job, ran);
                 }
                 machine.clearBlame(job.uid());
                 judge(job);
