--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -161,13 +161,6 @@
         retireUnheard(now);
         for (Machine machine : capacity.surplus(operator.idleMicros(), now, loop.wallMicros())) {
             leave(machine, "it has no work");
-            // There is room elsewhere, so what saves its progress moves there: a dear machine would else stay, mostly idle,
-            // until the longest of its tasks ends.
-            for (Seat seat : machine.seats()) {
-                if (seat.job() != null && !seat.ended() && !seat.unconfirmed() && seat.job().spec().saves()) {
-                    seat.halt(seat.job().spec().stashMicros() + 1_000_000, now);
-                }
-            }
         }
     }
 
