--- a/src/main/java/io/sillreel/fleet/Machine.java
+++ b/src/main/java/io/sillreel/fleet/Machine.java
@@ -25,6 +25,7 @@
     private static final int STALE_BEFORE_ASKING = 3;
     /** A machine that is silent for so long may have lost answers with its reports. */
     private static final long GAP_MICROS = 7_000_000;
+    private static final long FORGIVEN_MICROS = 20_000_000;
 
     private final String name;
     private final MachineType type;
@@ -56,6 +57,7 @@
     private long staleTally;
     private int staleCount;
     private int unheeded;
+    private long doubtMicros;
     private boolean condemned;
     private boolean suspect;
     private String leavingReason;
@@ -147,8 +149,13 @@
         if (shift > 0 && report.shift() > shift && answered > 1) {
             // Its lease ran out though it was answered all along.
             unheeded = DEAF_AFTER;
+            doubtMicros = nowMicros;
         }
         answered = nowMicros - lastReportMicros < GAP_MICROS ? answered : 0;
+        if (unheeded > 1 && state == State.UP && nowMicros - doubtMicros > FORGIVEN_MICROS) {
+            // Many seemed deaf at once, so it was not given up; now it is tried again, with one task.
+            unheeded = 1;
+        }
         shift = report.shift();
         tally = report.tally();
         directMicros = direct ? nowMicros : Long.MIN_VALUE;
@@ -195,8 +202,9 @@
     }
 
     /** A report has shown that the answer to the one before was not obeyed, or not even heard. */
-    public void unheeded() {
+    public void unheeded(long nowMicros) {
         unheeded++;
+        doubtMicros = nowMicros;
     }
 
     /** It is answered 200, which keeps its tasks alive if it hears that. */
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -341,8 +341,8 @@
             sentToLook.clear();
         }
         boolean heardElsewhere = peers.fresh().stream().anyMatch(peer -> peer.unanswered() > 0);
-        if (!heardElsewhere && !peers.silent()) {
-            // Nobody hears a worker, so there is none to hear.
+        if (settings.controllers() == 1 || !heardElsewhere && !peers.silent()) {
+            // Nobody else could lead, or nobody hears a worker, so there is none to hear.
             return;
         }
         long patience = heardElsewhere ? UNREACHED_MICROS : LONE_MICROS;
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -156,7 +156,7 @@
         if (deaf(machine)) {
             return giveUp(machine);
         }
-        machine.unheeded();
+        machine.unheeded(now);
         machine.answered(aliveUntil(now));
         return nothing;
     }
@@ -253,7 +253,7 @@
         if (heeded) {
             machine.heeded();
         } else if (unheeded) {
-            machine.unheeded();
+            machine.unheeded(now);
         }
     }
 
