--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -13,6 +13,7 @@
 import io.sillreel.settings.Settings;
 import io.sillreel.settings.SettingsException;
 import io.sillreel.settings.SettingsReader;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -67,7 +68,12 @@
     @Override
     public Integer call() throws Exception {
         if (rehearse) {
-            Rehearsal.run();
+            try {
+                Rehearsal.run();
+            } catch (IOException e) {
+                // The archive then lacks some classes, which makes starts slower and nothing else.
+                System.err.println("sillreel: the rehearsal ended early (" + e.getMessage() + ")");
+            }
             return 0;
         }
         try {
--- a/src/main/java/io/sillreel/cli/Rehearsal.java
+++ b/src/main/java/io/sillreel/cli/Rehearsal.java
@@ -1,39 +1,87 @@
 package io.sillreel.cli;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
+import io.sillreel.http.HttpServer;
+import io.sillreel.http.Json;
 import io.sillreel.settings.OperatorProperties;
 import io.sillreel.settings.SettingsReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Lets the daemon start and talk to itself for a moment, so that the build can archive the classes which that loads. The
- * daemon stands in for its own state service and cloud; every answer it gets from there is a refusal.
+ * Plays a lease holder and a follower for some seconds, from a submission to its end, so that the build can archive the
+ * classes which that loads. At a small share of a core a takeover would else spend its first seconds on loading them.
  */
 final class Rehearsal {
+    private static final int ROUNDS = 12;
+
     private Rehearsal() {
     }
 
     static void run() throws IOException, InterruptedException {
-        int publicPort = freePort();
-        int internalPort = freePort();
-        String self = "127.0.0.1:" + publicPort;
-        String settings = """
-                node_name = "rehearsal"
+        int stagePort = freePort();
+        int[] publicPorts = {freePort(), freePort()};
+        int[] internalPorts = {freePort(), freePort()};
+        EventLoopGroup[] daemons = new EventLoopGroup[2];
+        for (int i = 0; i < 2; i++) {
+            String settings = settings(i, publicPorts[i], internalPorts[i], internalPorts[1 - i], stagePort);
+            daemons[i] = Main.run(SettingsReader.parse(settings), OperatorProperties.defaults());
+            if (i == 0) {
+                new HttpServer(daemons[0], HttpServer.MAX_BODY_BYTES, 100)
+                        .listen(new InetSocketAddress("127.0.0.1", stagePort), new RehearsalStage()::handle);
+            }
+        }
+        Thread.sleep(1_500);
+        String self = "http://127.0.0.1:" + publicPorts[0];
+        ask(self + "/v2/runs", job("job-000001"));
+        ask(self + "/v2/runs", job("job-000002"));
+        ask(self + "/v2/runs", Json.object().put("uid", "job-000003"));
+        ask(self + "/v2/runs/job-000002/withdraw", Json.object());
+        ObjectNode beat = Json.object().put("hopper", "host-000000").put("addr", "127.0.0.1:1").put("build", "c4")
+                .put("yard", "a").put("loaners", true).put("shift", 1).put("baton", 0).putNull("recall_s");
+        ArrayNode pieces = beat.putArray("pieces");
+        for (int round = 1; round <= ROUNDS; round++) {
+            beat.put("tally", round);
+            JsonNode answer = ask("http://127.0.0.1:" + publicPorts[round % 2] + "/agent/beat", beat);
+            beat.put("baton", Math.max(beat.path("baton").asLong(), answer.path("baton").asLong()));
+            pieces.forEach(piece -> ((ObjectNode) piece).put("stage", "ended").put("cause", "done"));
+            for (JsonNode order : answer.path("orders")) {
+                if (order.path("verb").asText().equals("launch")) {
+                    pieces.addObject().put("piece", order.path("piece").asText()).put("try", order.path("try").asLong())
+                            .put("stage", "running");
+                }
+            }
+            ask(self + "/up", null);
+            ask(self + "/v2/runs/job-000001", null);
+            Thread.sleep(300);
+        }
+        ask("http://127.0.0.1:" + internalPorts[0] + "/metrics", null);
+        for (EventLoopGroup daemon : daemons) {
+            daemon.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+        }
+    }
+
+    private static String settings(int number, int publicPort, int internalPort, int otherPort, int stagePort) {
+        return """
+                node_name = "rehearsal-%1$d"
                 area = "a"
-                public_addr = "%1$s"
-                internal_addr = "127.0.0.1:%2$d"
+                public_addr = "127.0.0.1:%2$d"
+                internal_addr = "127.0.0.1:%3$d"
                 [[members]]
-                node_name = "self"
+                node_name = "rehearsal-%6$d"
                 area = "a"
-                address = "127.0.0.1:%2$d"
+                address = "127.0.0.1:%4$d"
                 [endpoints]
-                cloud = "%1$s"
-                state = "%1$s"
+                cloud = "127.0.0.1:%5$d"
+                state = "127.0.0.1:%5$d"
                 [params]
                 zones = ["a"]
                 skew_ms = 1.0
@@ -44,8 +92,8 @@
                 lease_s = 10.0
                 cancel_s = 30.0
                 [params.state]
-                rps = 100.0
-                write_rps = 100.0
+                rps = 1000.0
+                write_rps = 1000.0
                 value_kb = 32.0
                 txn_ops = 48
                 [params.cloud]
@@ -55,14 +103,14 @@
                 cores = 1.0
                 memory_mb = 200.0
                 max_sockets = 100
-                """.formatted(self, internalPort);
-        EventLoopGroup group = Main.run(SettingsReader.parse(settings), OperatorProperties.defaults());
-        for (String path : new String[] {"/up", "/v2/runs/job-000001", "/agent/beat", "/v2/runs"}) {
-            ask("http://" + self + path, path.equals("/up") || path.endsWith("1") ? null : "{\"uid\":\"job-000001\"}");
-        }
-        ask("http://127.0.0.1:" + internalPort + "/metrics", null);
-        Thread.sleep(1_500);
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+                """.formatted(number, publicPort, internalPort, otherPort, stagePort, 1 - number);
+    }
+
+    private static ObjectNode job(String uid) {
+        return Json.object().put("uid", uid).put("lot", "l").put("crew", "t").put("form", "sweep").put("rank", "normal")
+                .put("pieces", 2).put("vcpus", 1.0).put("cards", 0.0).put("ram_gb", 1.0).put("reel", "img")
+                .put("image_gb", 1.0).put("one_zone", false).put("spread", false).put("loaners", true)
+                .put("guess_s", 1.0).put("mark_every_s", 0.0).put("stash_s", 0.0).put("due_s", 60.0);
     }
 
     private static int freePort() throws IOException {
@@ -71,15 +119,19 @@
         }
     }
 
-    private static void ask(String url, String body) throws IOException {
+    private static JsonNode ask(String url, JsonNode body) throws IOException {
         HttpURLConnection connection = (HttpURLConnection) URI.create(url).toURL().openConnection();
         connection.setConnectTimeout(2_000);
-        connection.setReadTimeout(2_000);
+        connection.setReadTimeout(4_000);
         if (body != null) {
             connection.setDoOutput(true);
-            connection.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+            connection.getOutputStream().write(Json.bytes(body));
+        }
+        int status = connection.getResponseCode();
+        try (InputStream in = status < 400 ? connection.getInputStream() : connection.getErrorStream()) {
+            return Json.parse(in == null ? new byte[0] : in.readAllBytes());
+        } finally {
+            connection.disconnect();
         }
-        connection.getResponseCode();
-        connection.disconnect();
     }
 }
--- /dev/null
+++ b/src/main/java/io/sillreel/cli/RehearsalStage.java
@@ -0,0 +1,109 @@
+package io.sillreel.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sillreel.http.Call;
+import io.sillreel.http.Json;
+import io.sillreel.http.Reply;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What a rehearsal plays before: a state service that says yes to everything and a cloud with one machine. It serves to
+ * load the classes that a lease holder needs, and checks nothing.
+ */
+final class RehearsalStage {
+    private record Watcher(String prefix, long since, CompletableFuture<Reply> answer) {
+    }
+
+    private final TreeMap<String, ObjectNode> keys = new TreeMap<>();
+    private final List<ObjectNode> changes = new ArrayList<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private long ledger = 1;
+
+    synchronized CompletableFuture<Reply> handle(Call call) {
+        String route = call.route();
+        if (route.equals("/watch")) {
+            Watcher watcher = new Watcher(query(call, "prefix"), Long.parseLong(query(call, "since")),
+                    new CompletableFuture<>());
+            watchers.add(watcher);
+            wake();
+            return watcher.answer();
+        }
+        return CompletableFuture.completedFuture(switch (route) {
+            case "/txn" -> commit(Json.parse(call.body()));
+            case "/kv" -> list(query(call, "prefix"));
+            case "/grants" -> Reply.of(200, Json.object().put("permit", 1));
+            case "/flavors" -> Reply.of(200, flavors());
+            case "/machines" -> Reply.of(200, machines());
+            default -> route.startsWith("/kv/") ? get(route.substring(4)) : Reply.of(200, Json.object());
+        });
+    }
+
+    private static String query(Call call, String name) {
+        for (String part : call.path().substring(call.path().indexOf('?') + 1).split("&")) {
+            if (part.startsWith(name + "=")) {
+                return part.substring(name.length() + 1);
+            }
+        }
+        return "";
+    }
+
+    private Reply commit(JsonNode body) {
+        ledger++;
+        for (JsonNode change : body.path("then")) {
+            if (change.has("set")) {
+                String key = change.path("set").asText();
+                keys.put(key, Json.object().put("k", key).put("stamp", ledger).set("v", change.path("v")));
+                changes.add(Json.object().put("set", key).put("stamp", ledger).set("v", change.path("v")));
+            }
+        }
+        wake();
+        return Reply.of(200, Json.object().put("ledger", ledger));
+    }
+
+    private void wake() {
+        watchers.removeIf(watcher -> {
+            ArrayNode news = Json.array();
+            for (ObjectNode change : changes) {
+                if (change.path("stamp").asLong() > watcher.since()
+                        && change.path("set").asText().startsWith(watcher.prefix())) {
+                    news.add(change);
+                }
+            }
+            ObjectNode body = Json.object().put("ledger", ledger);
+            body.set("news", news);
+            return !news.isEmpty() && watcher.answer().complete(Reply.of(200, body));
+        });
+    }
+
+    private Reply list(String prefix) {
+        ObjectNode body = Json.object().put("truncated", false).put("ledger", ledger);
+        ArrayNode entries = body.putArray("entries");
+        keys.subMap(prefix, prefix + Character.MAX_VALUE).values().forEach(entries::add);
+        return Reply.of(200, body);
+    }
+
+    private Reply get(String key) {
+        ObjectNode entry = keys.get(key);
+        return entry == null ? Reply.of(404, Json.object().put("ledger", ledger)) : Reply.of(200, entry);
+    }
+
+    private static ObjectNode flavors() {
+        ObjectNode body = Json.object();
+        ObjectNode type = body.putArray("builds").addObject().put("sku", "c4").put("vcpus", 4).put("cards", 0)
+                .put("ram_gb", 16).put("cache_gb", 50).put("pull_gb_per_s", 1.0).put("price", 1.0)
+                .put("spot_price", 0.5).put("boot_s", 4);
+        type.putArray("yards").add("a");
+        return body;
+    }
+
+    private static ObjectNode machines() {
+        ObjectNode body = Json.object().put("truncated", false);
+        body.putArray("hoppers").add("host-000000");
+        return body;
+    }
+}
