--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -32,12 +32,14 @@
     static final class Queued {
         final ActiveJob job;
         final int level;
+        final boolean pressing;
         final boolean aged;
         int left;
 
-        Queued(ActiveJob job, int level, boolean aged) {
+        Queued(ActiveJob job, int level, boolean pressing, boolean aged) {
             this.job = job;
             this.level = level;
+            this.pressing = pressing;
             this.aged = aged;
             this.left = job.waitingCount();
         }
@@ -61,7 +63,7 @@
     private static final int LATE = 2;
     /** A low rank yields until its work has so little time left to start. */
     private static final long URGENT_MICROS = 20_000_000;
-    /** Work with less time than this goes before the rest of its rank. */
+    /** Work with less time than this does not wait for a place that has its image. */
     private static final long PRESSING_MICROS = 15_000_000;
     /** Work of normal rank stops other work only if it would be late otherwise, and only what saves its progress. */
     private static final long LAST_CHANCE_MICROS = 6_000_000;
@@ -142,7 +144,7 @@
         TeamUse usage = cluster.usage();
         Preemption preemption = new Preemption(plan, guaranteed, nowMicros);
         int preempting = 0;
-        // Within a level, each job first takes only places that have its image: a fetch can take longer than the task.
+        // Within a level, what is not pressing first takes only the places that have its image; the rest comes after.
         int from = 0;
         while (from < queue.size()) {
             int to = from;
@@ -151,7 +153,7 @@
             }
             List<Queued> level = queue.subList(from, to);
             for (Queued queued : level) {
-                assign(queued, spaces, usage, plan, true);
+                assign(queued, spaces, usage, plan, !queued.pressing);
             }
             for (Queued queued : level) {
                 int lacking = assign(queued, spaces, usage, plan, false);
@@ -194,7 +196,8 @@
                 for (Queued queued : left.subList(from, to)) {
                     looked++;
                     JobSpec spec = queued.job.spec();
-                    if (queued.left <= 0 || pass == 0 && !space.hasImage(spec) || owner != null && owner.left > 0 && owner != queued
+                    boolean now = queued.pressing || space.hasImage(spec);
+                    if (queued.left <= 0 || now == (pass == 1) || owner != null && owner.left > 0 && owner != queued
                             || !Cluster.allows(spec, machine) || space.room(spec) <= 0) {
                         continue;
                     }
@@ -236,7 +239,8 @@
             if (job.waitingCount() > 0 && cluster.launchable(job, wallMicros)) {
                 long slack = deadlines.slackMicros(job, wallMicros);
                 boolean aged = aged(job, wallMicros);
-                queue.add(new Queued(job, aged ? 0 : level(job, slack, guaranteed.contains(job), wallMicros), aged));
+                queue.add(new Queued(job, aged ? 0 : level(job, slack, guaranteed.contains(job), wallMicros),
+                        aged || slack >= 0 && slack < PRESSING_MICROS, aged));
             }
         }
         queue.sort(Comparator.<Queued>comparingInt(queued -> queued.level)
