--- a/src/main/java/io/sillreel/placement/Deadlines.java
+++ b/src/main/java/io/sillreel/placement/Deadlines.java
@@ -8,6 +8,7 @@
 /** When jobs should be complete: their own deadlines, or the users' aims for their class. */
 public final class Deadlines {
     private static final long DEFAULT_WITHIN_MICROS = 300_000_000;
+    private static final long DEFAULT_GUARANTEE_MICROS = 10_000_000;
 
     private final List<Objective> objectives;
     private final Estimates estimates;
@@ -17,6 +18,12 @@
         this.estimates = estimates;
     }
 
+    /** Within what time work within a guarantee is to start. */
+    public long guaranteeMicros() {
+        return objectives.stream().filter(aim -> aim.kind().equals("guarantee") && aim.withinMicros() > 0)
+                .mapToLong(Objective::withinMicros).min().orElse(DEFAULT_GUARANTEE_MICROS);
+    }
+
     /** The first time that can still be met, or else the last there was; time of day in microseconds. */
     public long of(ActiveJob job, long wallMicros) {
         return of(job, wallMicros, 0);
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -422,8 +422,11 @@
         /** Stops tasks where that really makes room for the job; false if the job may have none stopped. */
         boolean on(Queued queued, int lacking, long wallMicros) {
             JobSpec spec = queued.job.spec();
-            boolean owed = guaranteed.contains(queued.job)
-                    && wallMicros - queued.job.admittedWallMicros() > GUARANTEE_PATIENCE_MICROS;
+            // Stopping others costs work, so it waits until the aim is in danger; work that is lost then, once it is missed,
+            // would be lost for nothing.
+            long waited = wallMicros - queued.job.admittedWallMicros();
+            boolean owed = guaranteed.contains(queued.job) && waited > deadlines.guaranteeMicros() / 2;
+            boolean missed = waited > deadlines.guaranteeMicros();
             boolean urgent = spec.rank().above(Rank.NORMAL);
             long slack = deadlines.slackMicros(queued.job, wallMicros);
             boolean lastChance = spec.rank() != Rank.BEST_EFFORT && slack >= 0 && slack <= LAST_CHANCE_MICROS;
@@ -451,7 +454,7 @@
             }
             if (owed && needed > 0) {
                 needed -= stop(spec, needed, allowed, seat -> seat.job().spec().saves() && isBeyond(seat, spec));
-                if (needed > 0) {
+                if (needed > 0 && !missed) {
                     stop(spec, needed, allowed, seat -> isBeyond(seat, spec));
                 }
             }
