--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -267,7 +267,7 @@
         Rank rank = job.spec().rank();
         long age = wallMicros - job.admittedWallMicros();
         int level = levelOf(rank, slack < 0 ? LATE : slack < PRESSING_MICROS ? PRESSING : IN_TIME);
-        if (guaranteed && age > GUARANTEE_PATIENCE_MICROS) {
+        if (guaranteed && unbegun(job) && age > GUARANTEE_PATIENCE_MICROS) {
             return Math.min(level, levelOf(Rank.HIGH, IN_TIME));
         }
         if (age > YIELD_UNTIL_MICROS) {
