--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -267,8 +267,9 @@
         Rank rank = job.spec().rank();
         long age = wallMicros - job.admittedWallMicros();
         int level = levelOf(rank, slack < 0 ? LATE : slack < PRESSING_MICROS ? PRESSING : IN_TIME);
-        if (guaranteed && unbegun(job) && age > GUARANTEE_PATIENCE_MICROS) {
-            return Math.min(level, levelOf(Rank.HIGH, IN_TIME));
+        if (guaranteed && age > GUARANTEE_PATIENCE_MICROS
+                && (unbegun(job) || age < 2 * deadlines.guaranteeMicros())) {
+            return Math.min(level, OWED_LEVEL);
         }
         if (age > YIELD_UNTIL_MICROS) {
             return Math.min(level, levelOf(Rank.NORMAL, PRESSING));
@@ -276,6 +277,9 @@
         return rank == Rank.BEST_EFFORT && slack >= 0 && slack < URGENT_MICROS ? levelOf(Rank.NORMAL, LATE) : level;
     }
 
+    /** Behind what the high rank can still do in time: else each would stop the other's tasks in turn. */
+    private static final int OWED_LEVEL = levelOf(Rank.HIGH, LATE);
+
     private static int levelOf(Rank rank, int time) {
         return 1 + LEVELS_PER_RANK * rank.ordinal() + time;
     }
@@ -425,7 +429,8 @@
             // Stopping others costs work, so it waits until the aim is in danger; work that is lost then, once it is missed,
             // would be lost for nothing.
             long waited = wallMicros - queued.job.admittedWallMicros();
-            boolean owed = guaranteed.contains(queued.job) && waited > deadlines.guaranteeMicros() / 2;
+            boolean owed = guaranteed.contains(queued.job) && waited > deadlines.guaranteeMicros() / 2
+                    && queued.level <= OWED_LEVEL;
             boolean missed = waited > deadlines.guaranteeMicros();
             boolean urgent = spec.rank().above(Rank.NORMAL);
             long slack = deadlines.slackMicros(queued.job, wallMicros);
@@ -449,7 +454,7 @@
                 for (int each = ranks.length - 1; each > spec.rank().ordinal() && needed > 0; each--) {
                     Rank rank = ranks[each];
                     needed -= stop(spec, needed, allowed, seat -> seat.job().spec().rank() == rank
-                            && (urgent || seat.job().spec().saves()));
+                            && (urgent || seat.job().spec().saves() && !guaranteed.contains(seat.job())));
                 }
             }
             if (owed && needed > 0) {
@@ -461,10 +466,14 @@
             return true;
         }
 
-        /** True if the task is part of what another team runs beyond its own guarantee. */
+        /**
+         * True if the task is part of what another team runs beyond its own guarantee. High ranks are left alone: they go
+         * first in the order, and would take the place back at once.
+         */
         private boolean isBeyond(Seat seat, JobSpec forWhom) {
             JobSpec spec = seat.job().spec();
-            if (spec.crew().equals(forWhom.crew()) || guaranteed.contains(seat.job())) {
+            if (spec.crew().equals(forWhom.crew()) || guaranteed.contains(seat.job())
+                    || spec.rank().above(Rank.NORMAL) && !forWhom.rank().above(Rank.NORMAL)) {
                 return false;
             }
             return left(spec.crew()) >= TeamUse.milli(spec.cpus());
