A machine's new life frees nothing by inference; it goes back, and counts until then

Now what it was given stays counted until it is returned or its lease has run out, and a lower token with higher numbers shows a new life at once.

--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -100,6 +100,10 @@
             if (machine == null) {
                 return stranger(report);
             }
+            if (machine.trusted() && report.baton() < term && report.newerThan(machine.shift(), machine.tally())) {
+                // Within one life neither the token nor the numbers fall.
+                return newLife(machine);
+            }
             if (!machine.advance(report, false, now)) {
                 return notNewer(machine, report, now);
             }
@@ -196,21 +200,29 @@
 
     /**
      * What the machine said when it was asked how far it counts: less than it had counted when it was asked means that it
-     * is a new life of it, and that what ran in the old one is gone. It goes back: copies of reports from its old life,
-     * which count higher, could not be told from later ones of the new. If reports have been taken since it was asked, the
-     * answer is older than they are and says nothing: its new life may have been given tasks already.
+     * is a new life of it. If reports have been taken since, the answer is older than they are and says nothing.
      */
     public void asked(Report report, long shiftBefore, long tallyBefore) {
         synchronized (cluster) {
             Machine machine = cluster.machine(report.machine());
-            if (machine == null || machine.shift() != shiftBefore || machine.tally() != tallyBefore
-                    || report.newerThan(shiftBefore, tallyBefore)) {
-                return;
+            if (machine != null && machine.shift() == shiftBefore && machine.tally() == tallyBefore
+                    && !report.newerThan(shiftBefore, tallyBefore)) {
+                newLife(machine);
             }
-            LOG.info("machine {} is back and counts anew, {} tasks go back", machine.name(), machine.seats().size());
-            clear(machine);
+        }
+    }
+
+    /**
+     * The machine has started again under its name. It goes back to the cloud: copies of reports from its old life could
+     * not be told from later ones of the new. What it was given stays counted until the cloud has taken it, or its lease
+     * has run out, since the new life may have been given some of it.
+     */
+    private Reply newLife(Machine machine) {
+        if (!machine.condemned()) {
+            LOG.info("machine {} is back and counts anew", machine.name());
             machine.condemn("it counts anew");
         }
+        return Reply.later(503, "the machine is taken for one that has started again", 1);
     }
 
     private void take(Machine machine, Report report, boolean ownReport, long now) {
--- a/src/test/java/io/sillreel/RandomScheduleTest.java
+++ b/src/test/java/io/sillreel/RandomScheduleTest.java
@@ -18,6 +18,8 @@
  */
 class RandomScheduleTest {
     private static final int SEEDS = 25;
+    /** Seeds that broke a rule once. */
+    private static final long[] BROKEN_ONCE = {118, 252, 256, 1560, 3062};
     private static final int STEPS = 40;
     private static final int TEAM_CPUS = 10;
 
@@ -31,6 +33,9 @@
         for (long seed = 1; seed <= SEEDS; seed++) {
             play(seed);
         }
+        for (long seed : BROKEN_ONCE) {
+            play(seed);
+        }
     }
 
     private static void play(long seed) {
