--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -34,6 +34,8 @@
 
 /** One controller, put together from its slices. It does no I/O of its own: time and network are handed in. */
 public final class Controller implements Leadership.Listener, LiveCounts {
+    /** Where workers report. */
+    public static final String BEAT = "/agent/beat";
     private static final long HELLO_EVERY_MICROS = 1_000_000;
     private static final long HELLO_TIMEOUT_MICROS = 900_000;
     private static final long STORE_SILENCE_MICROS = 4_000_000;
@@ -85,9 +87,9 @@
         this.reports = metrics.counter("sillreel.reports");
         this.handed = metrics.counter("sillreel.reports.handed");
         this.moved = metrics.counter("sillreel.workers.moved");
-        this.relay = new ReportRelay(loop, caller);
         this.peers = new Peers(loop);
         this.spread = new WorkerSpread(loop, peers, settings.nodeName(), settings.workers().reportMicros());
+        this.relay = new ReportRelay(loop, caller, spread::workers);
     }
 
     public void start() {
@@ -102,7 +104,7 @@
         if (route.equals("/v2/runs") || route.startsWith("/v2/runs/")) {
             return users.handle(call);
         }
-        if (route.equals("/agent/beat")) {
+        if (route.equals(BEAT)) {
             return call.method().equals("POST") ? beat(call) : answer(Reply.refusal(405, "use POST"));
         }
         if (route.equals("/up")) {
@@ -224,6 +226,10 @@
             tenure.review();
         }
         for (Member member : settings.members()) {
+            if (peers.heardWithin(member.nodeName(), HELLO_EVERY_MICROS * 3 / 4)) {
+                // It has just asked; its question and our answer have told both sides all there is to tell.
+                continue;
+            }
             Call call = new Call("POST", PeerMessages.HELLO, ownHello().bytes());
             caller.call(member.address(), call, HELLO_TIMEOUT_MICROS).thenAccept(reply -> {
                 if (reply.ok()) {
@@ -271,6 +277,7 @@
         ObjectNode all = Json.object().put("sillreel.leads", leadership.heldTerm())
                 .put("sillreel.workers", spread.workers())
                 .put("sillreel.reports.passed", relay.passed()).put("sillreel.reports.lost", relay.lost())
+                .put("sillreel.reports.batches", relay.batchesSent())
                 .put("sillreel.requests.limit", users.limit()).put("sillreel.requests.refused", users.refused());
         for (Meter meter : metrics.getMeters()) {
             meter.measure().forEach(measurement -> all.put(meter.getId().getName(), measurement.getValue()));
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -32,6 +32,10 @@
     /** What a batch of the longest reports may take. */
     private static final int MAX_BATCH_BYTES = 8 * 1024 * 1024;
     private static final int CONNECTIONS_INSIDE = 100;
+    /** Of all sockets: the rest is for what this controller asks others. */
+    private static final double PUBLIC_PART = 0.75;
+    /** Of the public ones: the rest is for users and health checks. */
+    private static final double WORKERS_PART = 0.9;
 
     @Option(names = "--config", paramLabel = "FILE", description = "The platform's settings (TOML).")
     private Path config;
@@ -102,8 +106,9 @@
         NettyLoop loop = new NettyLoop(group.next());
         HttpClient client = new HttpClient(group.next(), CONNECTIONS_PER_ADDRESS);
         Controller controller = new Controller(loop, client, settings, operator, new SimpleMeterRegistry());
-        int connections = (int) (settings.resources().maxSockets() * 0.7);
-        new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections)
+        int connections = (int) (settings.resources().maxSockets() * PUBLIC_PART);
+        new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller.BEAT,
+                (int) (connections * WORKERS_PART))
                 .listen(settings.publicAddress(), controller::publicCall);
         new HttpServer(group, MAX_BATCH_BYTES, CONNECTIONS_INSIDE)
                 .listen(settings.internalAddress(), controller::internalCall);
--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -36,6 +36,13 @@
     private static final int MOST_RETURNED = 100;
     private static final long LEAST_UNHEARD_MICROS = 8_000_000;
     private static final int MOST_UNHEARD_PART = 4;
+    /** A recalled machine is returned so long before the cloud would take it. */
+    private static final long LAST_MOMENT_MICROS = 1_500_000;
+    /** A worker whose controller is gone waits 4 s for its answer and 1 s before it tries another. */
+    private static final long DETOUR_MICROS = 5_500_000;
+    /** Silent machines are given up one by one only while they are so few. */
+    private static final int MOST_LOST_PART = 50;
+    private static final double SILENT_LEASES = 2.5;
 
     private final Loop loop;
     private final long term;
@@ -151,19 +158,63 @@
                     leave(machine, "it never came up");
                 }
             } else if (machine.state() == Machine.State.UP) {
-                if (machine.leaseBoundMicros() < now && sinceReport > 2 * settings.workers().leaseMicros()) {
+                // A cut zone or a machine that hangs mostly comes back; then it has its images and need not boot.
+                if (machine.leaseBoundMicros() < now
+                        && sinceReport > SILENT_LEASES * settings.workers().leaseMicros()) {
                     leave(machine, "it is silent");
                 } else if (machine.recalled() && machine.empty()) {
                     leave(machine, "the cloud takes it back");
                 }
             }
+            retireRecalled(machine, now);
         }
+        retireLost(now);
         retireUnheard(now);
         for (Machine machine : capacity.surplus(operator.idleMicros(), now, loop.wallMicros())) {
             leave(machine, "it has no work");
         }
     }
 
+    /**
+     * What runs on a recalled machine is lost in a moment. If the machine just vanished, its tasks would count as alive
+     * until their lease ran out; once the cloud has taken it back on our word, they can start elsewhere at once.
+     */
+    private void retireRecalled(Machine machine, long now) {
+        boolean here = machine.state() == Machine.State.UP || machine.state() == Machine.State.LEAVING;
+        if (here && machine.recalled() && machine.recallAtMicros() - now < LAST_MOMENT_MICROS
+                && !machine.condemned()) {
+            leave(machine, "the cloud takes it back");
+            machine.condemn("recalled");
+        }
+    }
+
+    /**
+     * A single machine that falls silent has most likely been taken without notice. Returning it makes that certain long
+     * before its lease does, and its tasks can start elsewhere. When many fall silent together, it is the network or they
+     * hang, and they come back: then their leases are waited for.
+     */
+    private void retireLost(long now) {
+        long patience = settings.workers().reportMicros() * 3 / 2 + DETOUR_MICROS;
+        List<Machine> lost = new ArrayList<>();
+        int heard = 0;
+        for (Machine machine : cluster.machines()) {
+            if (machine.state() == Machine.State.UP && machine.trusted()) {
+                if (now - machine.lastReportMicros() > patience) {
+                    lost.add(machine);
+                } else {
+                    heard++;
+                }
+            }
+        }
+        if (heard == 0 || lost.size() > Math.max(2, cluster.machines().size() / MOST_LOST_PART)) {
+            return;
+        }
+        for (Machine machine : lost) {
+            leave(machine, "it has fallen silent");
+            machine.condemn("lost");
+        }
+    }
+
     /**
      * Most machines report within seconds of a takeover, and again with the new token. The few that don't, or that report
      * and don't hear the answer, would hold up every job of an earlier term for as long as their leases might last; once
--- a/src/main/java/io/sillreel/fleet/Seat.java
+++ b/src/main/java/io/sillreel/fleet/Seat.java
@@ -19,6 +19,7 @@
     private long haltWindDownMicros;
     private long haltedMicros;
     private long reapTally;
+    private long endedMicros;
 
     private Seat(ActiveJob job, String uid, int index, long attempt, long launchTally, Stage stage, long nowMicros) {
         this.job = job;
@@ -106,6 +107,7 @@
         }
         stage = newStage;
         if (ended()) {
+            endedMicros = nowMicros;
             machine.changed();
         }
     }
@@ -119,6 +121,11 @@
         return stage == Stage.ENDED;
     }
 
+    /** When the task was seen to have ended; long ago if it was found so. */
+    public long endedMicros() {
+        return endedMicros;
+    }
+
     public void halt(long windDownMicros, long nowMicros) {
         if (!halting) {
             haltedMicros = nowMicros;
--- a/src/main/java/io/sillreel/http/HttpClient.java
+++ b/src/main/java/io/sillreel/http/HttpClient.java
@@ -26,6 +26,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -37,10 +38,16 @@
 public final class HttpClient implements Caller {
     private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    /**
+     * A connection without work is closed after so long. A lease holder sends commands to every machine now and then; the
+     * connections that this left open would add up to the fleet and take the sockets that the state service needs.
+     */
+    private static final long IDLE_MICROS = 2_000_000;
 
     private final EventLoop eventLoop;
     private final int connectionsPerAddress;
     private final Map<String, Pool> pools = new HashMap<>();
+    private boolean sweeping;
 
     public HttpClient(EventLoop eventLoop, int connectionsPerAddress) {
         this.eventLoop = eventLoop;
@@ -63,6 +70,27 @@
         pending.timer = eventLoop.schedule(() -> pool.expire(pending), timeoutMicros, TimeUnit.MICROSECONDS);
         pool.waiting.add(pending);
         pool.drain();
+        if (!sweeping) {
+            sweeping = true;
+            eventLoop.schedule(this::sweep, IDLE_MICROS, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void sweep() {
+        closeUnused();
+        sweeping = !pools.isEmpty();
+        if (sweeping) {
+            eventLoop.schedule(this::sweep, IDLE_MICROS, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Closes the connections that have not been used since it was last called. */
+    void closeUnused() {
+        List.copyOf(pools.values()).forEach(Pool::closeUnused);
+    }
+
+    int idleConnections() {
+        return pools.values().stream().mapToInt(pool -> pool.idle.size()).sum();
     }
 
     static InetSocketAddress parse(String address) {
@@ -118,6 +146,18 @@
             }
         }
 
+        void closeUnused() {
+            for (Channel channel : List.copyOf(idle)) {
+                Answers answers = channel.pipeline().get(Answers.class);
+                if (answers != null && answers.unused) {
+                    idle.remove(channel);
+                    channel.close();
+                } else if (answers != null) {
+                    answers.unused = true;
+                }
+            }
+        }
+
         private void connect() {
             open++;
             connecting++;
@@ -164,7 +204,9 @@
             }
             request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
             pending.channel = channel;
-            channel.pipeline().get(Answers.class).current = pending;
+            Answers answers = channel.pipeline().get(Answers.class);
+            answers.current = pending;
+            answers.unused = false;
             channel.writeAndFlush(request, channel.voidPromise());
         }
 
@@ -198,6 +240,8 @@
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Pool pool;
         private Pending current;
+        /** True if the connection was idle at the last sweep and has not been used since. */
+        private boolean unused;
 
         Answers(Pool pool) {
             this.pool = pool;
--- a/src/main/java/io/sillreel/http/HttpServer.java
+++ b/src/main/java/io/sillreel/http/HttpServer.java
@@ -28,7 +28,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** An HTTP/1.1 listener. Connections are persistent; past the limit of connections new ones are closed at once. */
+/**
+ * An HTTP/1.1 listener. Connections are persistent; past the limit of connections new ones are closed at once. One route
+ * may be given a part of the connections: hundreds of workers that turn to the last controller that is up must not take
+ * the place of users and health checks.
+ */
 public final class HttpServer {
     public static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int DRAIN_MILLIS = 1_000;
@@ -37,12 +41,22 @@
     private final EventLoopGroup group;
     private final int maxBodyBytes;
     private final int maxConnections;
+    private final String crowd;
+    private final int maxCrowd;
     private int connections;
+    private int crowded;
 
     public HttpServer(EventLoopGroup group, int maxBodyBytes, int maxConnections) {
+        this(group, maxBodyBytes, maxConnections, null, 0);
+    }
+
+    /** @param crowd the route that may be asked over {@code maxCrowd} of the connections at once */
+    public HttpServer(EventLoopGroup group, int maxBodyBytes, int maxConnections, String crowd, int maxCrowd) {
         this.group = group;
         this.maxBodyBytes = maxBodyBytes;
         this.maxConnections = maxConnections;
+        this.crowd = crowd;
+        this.maxCrowd = maxCrowd;
     }
 
     /** Listens on the address, or fails with a plain message. */
@@ -98,13 +112,36 @@
         }
     }
 
-    private static final class Dispatch extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Dispatch extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Handler handler;
+        private boolean counted;
 
         Dispatch(Handler handler) {
             this.handler = handler;
         }
 
+        /** True if the connection belongs to the crowd and there is no place left for it. */
+        private boolean turnsAway(Call call) {
+            if (counted || crowd == null || !call.route().equals(crowd)) {
+                return false;
+            }
+            if (crowded >= maxCrowd) {
+                return true;
+            }
+            counted = true;
+            crowded++;
+            return false;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (counted) {
+                counted = false;
+                crowded--;
+            }
+            ctx.fireChannelInactive();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             boolean keepAlive = HttpUtil.isKeepAlive(request);
@@ -114,7 +151,12 @@
                 write(ctx, Reply.refusal(400, "not HTTP"), false);
                 return;
             }
-            handler.handle(new Call(request.method().name(), request.uri(), body)).whenComplete((reply, failure) -> {
+            Call call = new Call(request.method().name(), request.uri(), body);
+            if (turnsAway(call)) {
+                write(ctx, Reply.later(503, "too many connections", 1), false);
+                return;
+            }
+            handler.handle(call).whenComplete((reply, failure) -> {
                 if (failure != null) {
                     LOG.error("a request could not be handled: {} {}", request.method(), request.uri(), failure);
                     write(ctx, Reply.later(503, "internal error", 1), keepAlive);
@@ -124,7 +166,7 @@
             });
         }
 
-        private static void write(ChannelHandlerContext ctx, Reply reply, boolean keepAlive) {
+        private void write(ChannelHandlerContext ctx, Reply reply, boolean keepAlive) {
             FullHttpResponse response = response(reply);
             if (keepAlive) {
                 ctx.writeAndFlush(response, ctx.voidPromise());
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -67,6 +67,8 @@
     private static final long WITHDRAW_STALE_MICROS = 4_000_000;
     private static final long HOLDOVER_MARGIN_MICROS = 1_500_000;
     private static final long DO_TIMEOUT_MICROS = 3_000_000;
+    /** A task that needs so many times what its machine has left is not worth waiting for. */
+    private static final double HOPELESS_FACTOR = 1.5;
     /** So long without any report, while others get some they can't hand on, or while nobody says anything. */
     private static final long UNREACHED_MICROS = 6_000_000;
     private static final long LONE_MICROS = 12_000_000;
@@ -493,26 +495,37 @@
         }
     }
 
-    /** Tasks that can save are stopped while there is time to; the others may yet end by themselves. */
+    /**
+     * Tasks that can save are stopped while there is time to. The others may yet end by themselves; those that surely won't
+     * lose nothing by being stopped at once, and start elsewhere so much sooner.
+     */
     private Set<Machine> drainRecalled(long now) {
         Set<Machine> touched = new LinkedHashSet<>();
         for (Machine machine : cluster.machines()) {
             if (!machine.recalled()) {
                 continue;
             }
+            long left = machine.recallAtMicros() - now;
             for (Seat seat : machine.seats()) {
-                if (seat.job() != null && !seat.ended() && !seat.halting() && seat.job().spec().saves()) {
-                    long stash = seat.job().spec().stashMicros();
-                    if (machine.recallAtMicros() - now < 2 * stash + 3_000_000) {
-                        seat.halt(stash + 1_000_000, now);
-                        touched.add(machine);
-                    }
+                if (seat.job() == null || seat.ended() || seat.unconfirmed() || seat.halting()) {
+                    continue;
+                }
+                JobSpec spec = seat.job().spec();
+                if (spec.saves() ? left < 2 * spec.stashMicros() + 3_000_000
+                        : remainingMicros(seat, now) > HOPELESS_FACTOR * left) {
+                    seat.halt(spec.saves() ? spec.stashMicros() + 1_000_000 : 0, now);
+                    touched.add(machine);
                 }
             }
         }
         return touched;
     }
 
+    private long remainingMicros(Seat seat, long now) {
+        long ran = seat.runningSinceMicros() < 0 ? 0 : now - seat.runningSinceMicros();
+        return estimates.expectedMicros(seat.job()) - ran;
+    }
+
     /** A withdrawn job is kept for as long as one of its tasks may be anywhere. */
     private void forgetWithdrawn(long now) {
         synchronized (cluster) {
--- a/src/main/java/io/sillreel/peer/Peers.java
+++ b/src/main/java/io/sillreel/peer/Peers.java
@@ -25,6 +25,12 @@
         heardMicros.put(hello.node(), loop.nowMicros());
     }
 
+    /** True if the controller was heard within the time that has just passed. */
+    public synchronized boolean heardWithin(String node, long micros) {
+        Long at = heardMicros.get(node);
+        return at != null && loop.nowMicros() - at < micros;
+    }
+
     /** Those that were heard lately. */
     public synchronized Collection<Hello> fresh() {
         List<Hello> fresh = new ArrayList<>();
--- a/src/main/java/io/sillreel/workers/ReportRelay.java
+++ b/src/main/java/io/sillreel/workers/ReportRelay.java
@@ -10,6 +10,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
 
 /**
  * Hands workers' reports on to the lease holder, many in one request, and each worker the answer that was decided there.
@@ -17,7 +18,13 @@
  * workers' next reports show that.
  */
 public final class ReportRelay {
-    private static final long GATHER_MICROS = 15_000;
+    /**
+     * Each batch costs both sides a request, whatever is in it. With a few workers that is little, and their answers are
+     * not held up for it; with hundreds of them batches of one or two reports were most of the work of a controller.
+     */
+    private static final long LEAST_GATHER_MICROS = 15_000;
+    private static final long MOST_GATHER_MICROS = 100_000;
+    private static final long GATHER_PER_WORKER_MICROS = 500;
     private static final long TIMEOUT_MICROS = 2_500_000;
     private static final int MOST_REPORTS = 64;
     private static final int BATCHES_AT_ONCE = 2;
@@ -30,6 +37,7 @@
 
     private final Loop loop;
     private final Caller caller;
+    private final IntSupplier workers;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private String leader = "";
     private int batches;
@@ -37,10 +45,13 @@
     private long brokenUntilMicros = Long.MIN_VALUE;
     private long passed;
     private long lost;
+    private long batchesSent;
 
-    public ReportRelay(Loop loop, Caller caller) {
+    /** @param workers how many workers report here */
+    public ReportRelay(Loop loop, Caller caller, IntSupplier workers) {
         this.loop = loop;
         this.caller = caller;
+        this.workers = workers;
     }
 
     /** True unless the last batch to this lease holder was lost a moment ago. */
@@ -56,6 +67,10 @@
         return lost;
     }
 
+    public synchronized long batchesSent() {
+        return batchesSent;
+    }
+
     public CompletableFuture<Reply> pass(Report report, String leaderAddress) {
         CompletableFuture<Reply> answer = new CompletableFuture<>();
         synchronized (this) {
@@ -69,10 +84,15 @@
             }
             gathering = true;
         }
-        loop.after(GATHER_MICROS, this::send);
+        loop.after(gatherMicros(), this::send);
         return answer;
     }
 
+    private long gatherMicros() {
+        return Math.max(LEAST_GATHER_MICROS,
+                Math.min(MOST_GATHER_MICROS, GATHER_PER_WORKER_MICROS * workers.getAsInt()));
+    }
+
     private void send() {
         List<Waiting> batch = new ArrayList<>();
         List<Report> reports = new ArrayList<>();
@@ -87,6 +107,7 @@
                 return;
             }
             batches++;
+            batchesSent++;
             to = leader;
         }
         Call call = PeerMessages.beats(reports);
--- a/src/test/java/io/sillreel/sim/SimCloud.java
+++ b/src/test/java/io/sillreel/sim/SimCloud.java
@@ -42,6 +42,12 @@
         }
     }
 
+    /** The cloud takes a machine back after some time, and its worker is told. */
+    public void recall(String name, long afterMicros) {
+        machines.get(name).recalled(afterMicros);
+        world.time().after(afterMicros, () -> take(name));
+    }
+
     @Override
     public CompletableFuture<Reply> handle(Call call) {
         if (outage) {
--- a/src/test/java/io/sillreel/sim/SimWorker.java
+++ b/src/test/java/io/sillreel/sim/SimWorker.java
@@ -53,6 +53,7 @@
     private int life;
     private boolean faulty;
     private long runMicros = 3_000_000;
+    private long recallAtMicros = -1;
 
     SimWorker(World world, String name, String build, String yard, int firstNode) {
         this.world = world;
@@ -93,6 +94,21 @@
         runMicros = micros;
     }
 
+    void recalled(long afterMicros) {
+        recallAtMicros = world.time().nowMicros() + afterMicros;
+        changed();
+    }
+
+    /** True if its reports name no task. */
+    public boolean isEmpty() {
+        return tasks.isEmpty();
+    }
+
+    /** True if its reports name the task. */
+    public boolean knows(String piece) {
+        return tasks.values().stream().anyMatch(task -> task.piece.equals(piece));
+    }
+
     /** What runs now runs for so much longer. */
     public void prolong(long micros) {
         tasks.values().forEach(task -> task.endsMicros += micros);
@@ -252,6 +268,9 @@
     private ObjectNode body() {
         ObjectNode body = Json.object().put("hopper", name).put("addr", address()).put("build", build)
                 .put("yard", yard).put("loaners", true).put("shift", shift).put("tally", tally).put("baton", baton);
+        if (recallAtMicros >= 0) {
+            body.put("recall_s", (recallAtMicros - world.time().nowMicros()) / 1_000_000.0);
+        }
         ArrayNode pieces = body.putArray("pieces");
         for (Task task : tasks.values()) {
             ObjectNode node = pieces.addObject().put("piece", task.piece).put("try", task.attempt)
--- a/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
+++ b/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
@@ -6,6 +6,7 @@
 import io.sillreel.sim.SimNetwork.Rule;
 import io.sillreel.sim.SimWorker;
 import io.sillreel.sim.World;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Troubles between machines and controllers that are no plain cut: deafness, copies, new lives, lone controllers. */
@@ -183,4 +184,91 @@
         }
         return most;
     }
+
+    /** Five machines with tasks that run for long, on one of them at least two. */
+    private SimWorker fleetWithLongTasks() {
+        world.seconds(2);
+        world.submit(0, World.job("job-000001", 20));
+        world.until(() -> {
+            world.cloud().machines().values().forEach(worker -> worker.runMicros(40_000_000));
+            return world.starts() >= 20;
+        });
+        assertThat(world.cloud().machines().size()).isGreaterThan(3);
+        return busyMachine(2);
+    }
+
+    /** Guards against waiting for the lease of a machine whose end was announced: its tasks started 12 s later. */
+    @Test
+    void whatIsLostWithARecalledMachineStartsElsewhereAtOnce() {
+        SimWorker worker = fleetWithLongTasks();
+        int lost = worker.running().size();
+        int before = world.starts();
+        world.cloud().recall(worker.name(), 10_000_000);
+        world.seconds(12);
+        assertThat(world.cloud().machines()).doesNotContainKey(worker.name());
+        assertThat(world.starts()).isEqualTo(before + lost);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards against work on a recalled machine that can't end there: it held its pieces until the machine was gone. */
+    @Test
+    void aTaskThatCanNotEndOnARecalledMachineIsStoppedAtOnce() {
+        world.seconds(2);
+        world.submit(0, World.job("job-000001", 20).put("guess_s", 60.0));
+        world.until(() -> {
+            world.cloud().machines().values().forEach(worker -> worker.runMicros(60_000_000));
+            return world.starts() >= 20;
+        });
+        SimWorker worker = busyMachine(2);
+        world.cloud().recall(worker.name(), 30_000_000);
+        world.seconds(2);
+        assertThat(worker.running()).isEmpty();
+        world.until(() -> world.starts() > 20);
+        world.seconds(150);
+        assertThat(world.stage(0, "job-000001")).isEqualTo("done");
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards against waiting for the lease of a single machine that has been taken without a word. */
+    @Test
+    void aSingleMachineThatFallsSilentIsReturnedBeforeItsLeaseRunsOut() {
+        SimWorker worker = fleetWithLongTasks();
+        int lost = worker.running().size();
+        int before = world.starts();
+        world.cloud().take(worker.name());
+        world.seconds(10);
+        assertThat(world.starts()).isEqualTo(before + lost);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards against giving away, in vain, machines that only can't be heard for a while. */
+    @Test
+    void machinesThatFallSilentTogetherAreWaitedFor() {
+        fleetWithLongTasks();
+        List<String> names = List.copyOf(world.cloud().machines().keySet());
+        List<String> silent = names.subList(0, 3);
+        Rule cut = world.network().add((from, to, call) -> silent.contains(from) ? Fate.LOSE : null);
+        world.seconds(10);
+        world.network().remove(cut);
+        world.seconds(25);
+        assertThat(world.cloud().machines().keySet()).containsAll(silent);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards against a report for each thing that a worker is told to forget: a fifth of all reports were that. */
+    @Test
+    void whatHasEndedIsForgottenAlongWithOtherOrders() {
+        World quiet = new World(5);
+        quiet.seconds(2);
+        quiet.submit(0, World.job("job-000001", 1));
+        quiet.until(() -> quiet.stage(0, "job-000001").equals("done"));
+        SimWorker worker = quiet.cloud().machines().values().stream().filter(each -> !each.isEmpty()).findFirst()
+                .orElseThrow();
+        quiet.seconds(0.8);
+        assertThat(worker.isEmpty()).as("nothing else was to be told").isFalse();
+        quiet.submit(0, World.job("job-000002", 40));
+        quiet.until(() -> !worker.running().isEmpty());
+        quiet.seconds(0.1);
+        assertThat(worker.knows("job-000001/0")).isFalse();
+    }
 }
