--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -59,6 +60,7 @@
     private final Map<String, Hire> hires = new LinkedHashMap<>();
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Long> strangers = new HashMap<>();
+    private final Set<Hire> wentDown = new LinkedHashSet<>();
     private final long begunMicros;
     private long names;
     private long listedMicros = Long.MIN_VALUE / 2;
@@ -107,6 +109,13 @@
         }
     }
 
+    /** A machine was silent for longer than anything could live on it: stored soon, with others of its hire. */
+    public void wentDown(Machine machine) {
+        if (machine.hire().wentDown(machine.name())) {
+            wentDown.add(machine.hire());
+        }
+    }
+
     /** A machine that no known hire brought: used from now on, once it is stored. */
     public Machine adopt(String name, String build, String yard, boolean spot) {
         MachineType type = types.get().get(build);
@@ -138,6 +147,8 @@
         long now = loop.nowMicros();
         synchronized (cluster) {
             retire(now);
+            wentDown.stream().filter(hire -> !hire.dropped()).forEach(writer::enqueue);
+            wentDown.clear();
         }
         if (!listing && now - listedMicros > LIST_EVERY_MICROS) {
             list();
@@ -210,8 +221,11 @@
             return;
         }
         for (Machine machine : lost) {
-            leave(machine, "it has fallen silent");
-            machine.condemn("lost");
+            // Past its lease there is no hurry any more, and it may be the last of many that are just coming back.
+            if (machine.leaseBoundMicros() > now) {
+                leave(machine, "it has fallen silent");
+                machine.condemn("lost");
+            }
         }
     }
 
@@ -343,7 +357,8 @@
     }
 
     private void rent(long now) {
-        if (!mayAct.getAsBoolean() || writer.backlog() > settings.state().txnOps()) {
+        // A hire is stored before the cloud is asked, so it waits while the store can't keep up with what is as urgent.
+        if (!mayAct.getAsBoolean() || writer.pressing() > settings.state().txnOps()) {
             return;
         }
         List<Wish> wishes;
--- a/src/main/java/io/sillreel/fleet/Hire.java
+++ b/src/main/java/io/sillreel/fleet/Hire.java
@@ -95,6 +95,15 @@
         return machines.contains(machine) && up.add(machine);
     }
 
+    /**
+     * Nothing lives on the machine any more; true if that is yet to be stored. Until it has reported again, and stands as up
+     * again, it gets no task and holds up no takeover: a third of the fleet may be silent when the holder crashes.
+     */
+    public boolean wentDown(String machine) {
+        storedMachines.remove(machine);
+        return up.remove(machine);
+    }
+
     /** True once the cloud has said which machines it rented. */
     public boolean answered() {
         return answered;
@@ -155,6 +164,8 @@
         Map<String, JsonNode> changes = new HashMap<>();
         sentMachines.clear();
         sentMachines.addAll(up);
+        // From the moment it is sent, what the write lacks may be missing from the store.
+        storedMachines.retainAll(sentMachines);
         changes.put(key(), dropped ? null : json());
         return changes;
     }
--- a/src/main/java/io/sillreel/fleet/Seat.java
+++ b/src/main/java/io/sillreel/fleet/Seat.java
@@ -19,7 +19,6 @@
     private long haltWindDownMicros;
     private long haltedMicros;
     private long reapTally;
-    private long endedMicros;
 
     private Seat(ActiveJob job, String uid, int index, long attempt, long launchTally, Stage stage, long nowMicros) {
         this.job = job;
@@ -107,7 +106,6 @@
         }
         stage = newStage;
         if (ended()) {
-            endedMicros = nowMicros;
             machine.changed();
         }
     }
@@ -121,11 +119,6 @@
         return stage == Stage.ENDED;
     }
 
-    /** When the task was seen to have ended; long ago if it was found so. */
-    public long endedMicros() {
-        return endedMicros;
-    }
-
     public void halt(long windDownMicros, long nowMicros) {
         if (!halting) {
             haltedMicros = nowMicros;
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -370,6 +370,11 @@
         fleet.cameUp(machine);
     }
 
+    @Override
+    public void wentDown(Machine machine) {
+        fleet.wentDown(machine);
+    }
+
     @Override
     public void progressed() {
         dirty = true;
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -22,7 +22,7 @@
     public record Wish(MachineType type, String yard, boolean spot, int count) {
     }
 
-    private static final int MOST_AT_ONCE = 25;
+    private static final int MOST_AT_ONCE = 50;
     private static final double SAME_PLACE_WEIGHT = 0.25;
     private static final long LATE_BOOT_FACTOR = 2;
     /** How much of a running task is left on average. */
--- a/src/main/java/io/sillreel/statestore/KeyWriter.java
+++ b/src/main/java/io/sillreel/statestore/KeyWriter.java
@@ -109,6 +109,11 @@
         return waiting.size();
     }
 
+    /** Changes that go before progress, which gathers on purpose and says nothing about how far the store has fallen behind. */
+    public synchronized long pressing() {
+        return waiting.values().stream().filter(item -> item.urgency() != Urgency.PROGRESS).count();
+    }
+
     private synchronized void kick(long delayMicros) {
         if (!busy && !closed) {
             busy = true;
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -14,7 +14,6 @@
 import io.sillreel.settings.Settings.WorkerTimes;
 import io.sillreel.statestore.KeyWriter;
 import io.sillreel.workers.Report.PieceState;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -39,6 +38,9 @@
         /** The machine has reported for the first time. */
         void cameUp(Machine machine);
 
+        /** Nothing that was on the machine can be alive any more, and it has not been heard since. */
+        void wentDown(Machine machine);
+
         void progressed();
 
         /** Asks the machine itself how far it counts. */
@@ -53,9 +55,6 @@
     /** A worker waits so long for the answer to a report. */
     private static final long OVERTAKEN_MICROS = 4_000_000;
     private static final int MOST_DEAF_PART = 8;
-    /** An ended task is left on its machine for so many reports, and so many of them at once. */
-    private static final int REAP_REPORTS = 2;
-    private static final int MOST_SETTLED = 8;
 
     private final Loop loop;
     private final long term;
@@ -122,11 +121,10 @@
             }
             machine.answered(aliveUntil(now));
             Orders orders = new Orders();
-            halt(machine, orders);
+            command(machine, orders);
             if (mayAct.getAsBoolean()) {
                 launch(machine, report, orders, now);
             }
-            reap(machine, orders, now);
             return orders.isEmpty() ? nothing : orders.reply(term);
         }
     }
@@ -359,8 +357,8 @@
         office.progressed();
     }
 
-    /** Stops what must not run; repeated until the reports show it done. */
-    private void halt(Machine machine, Orders orders) {
+    /** Reaps what is settled and stops what must not run; both are repeated until the reports show them done. */
+    public void command(Machine machine, Orders orders) {
         for (Seat seat : machine.seats()) {
             if (orders.full()) {
                 return;
@@ -368,9 +366,12 @@
             ActiveJob job = seat.job();
             boolean idle = job == null || job.withdrawn();
             if (seat.ended()) {
-                continue;
-            }
-            if (seat.unconfirmed()) {
+                // The worker is the only one to know of a completion until the store does.
+                if (idle || !job.isDone(seat.index()) || job.isStored(seat.index())) {
+                    seat.reapOrdered(machine.tally());
+                    orders.reap(seat.uid(), seat.index(), seat.attempt());
+                }
+            } else if (seat.unconfirmed()) {
                 if (idle) {
                     orders.halt(seat.uid(), seat.index(), seat.attempt(), 0);
                 }
@@ -382,41 +383,6 @@
         }
     }
 
-    /**
-     * Has the worker forget what is settled; repeated until the reports show that it has. It reports anew for each time it
-     * forgets something, which with hundreds of machines was a fifth of all reports, so this rides along with other orders
-     * or waits for more of its kind.
-     */
-    private void reap(Machine machine, Orders orders, long now) {
-        List<Seat> settled = new ArrayList<>();
-        boolean due = !orders.isEmpty();
-        for (Seat seat : machine.seats()) {
-            ActiveJob job = seat.job();
-            // The worker is the only one to know of a completion until the store does.
-            if (seat.ended() && (job == null || job.withdrawn() || !job.isDone(seat.index())
-                    || job.isStored(seat.index()))) {
-                settled.add(seat);
-                due |= seat.reapTally() > 0 || now - seat.endedMicros() > REAP_REPORTS * times.reportMicros();
-            }
-        }
-        if (!due && settled.size() < MOST_SETTLED) {
-            return;
-        }
-        for (Seat seat : settled) {
-            if (orders.full()) {
-                return;
-            }
-            seat.reapOrdered(machine.tally());
-            orders.reap(seat.uid(), seat.index(), seat.attempt());
-        }
-    }
-
-    /** Everything the machine is to do but launches, for a direct command. */
-    public void command(Machine machine, Orders orders) {
-        halt(machine, orders);
-        reap(machine, orders, loop.nowMicros());
-    }
-
     /** Gives the machine what the plan has for it, and what it had no room for elsewhere as far as there is room here. */
     private void launch(Machine machine, Report report, Orders orders, long now) {
         List<Assignment> planned = plan.launches().remove(machine.name());
@@ -487,6 +453,9 @@
             if (machine.leaseBoundMicros() <= now) {
                 machine.endSession();
                 cluster.cleared(machine);
+                if (mayAct.getAsBoolean()) {
+                    office.wentDown(machine);
+                }
                 if (!machine.seats().isEmpty()) {
                     LOG.info("machine {} is silent beyond its lease, {} tasks go back", machine.name(),
                             machine.seats().size());
--- a/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
+++ b/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
@@ -7,6 +7,7 @@
 import io.sillreel.sim.SimNetwork.Fate;
 import io.sillreel.sim.SimNetwork.Rule;
 import io.sillreel.sim.World;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class TakeoverStoriesTest {
@@ -222,4 +223,25 @@
         world.seconds(10);
         assertThat(world.leader()).isNotNegative();
     }
+
+    /** Guards against waiting, after a crash, for machines whose tasks the earlier holder knew to be dead. */
+    @Test
+    void machinesThatWereSilentBeyondTheirLeasesHoldUpNoTakeover() {
+        world.seconds(2);
+        world.submit(0, World.job("job-000001", 900));
+        startOn(30, 6_000_000);
+        List<String> names = List.copyOf(world.cloud().machines().keySet());
+        List<String> silent = names.subList(0, names.size() / 2);
+        assertThat(silent.size()).isGreaterThan(2);
+        world.network().add((from, to, call) -> silent.contains(from) || silent.stream().anyMatch(to::startsWith)
+                ? Fate.LOSE : null);
+        world.seconds(16);
+        int leader = world.leader();
+        world.kill(leader);
+        world.until(() -> world.leader() >= 0 && world.leader() != leader);
+        int before = world.starts();
+        world.seconds(10);
+        assertThat(world.starts()).isGreaterThan(before);
+        assertThat(world.broken()).isEmpty();
+    }
 }
--- a/src/test/java/io/sillreel/statestore/KeyWriterTest.java
+++ b/src/test/java/io/sillreel/statestore/KeyWriterTest.java
@@ -194,4 +194,20 @@
         }
         assertThat(taken).isBetween(28, 30);
     }
+
+    /** Guards rentals, which wait while the store can't keep up: progress of many jobs gathers and says nothing of that. */
+    @Test
+    void progressThatGathersIsNoBacklogOfWhatPresses() {
+        for (int i = 0; i < 30; i++) {
+            Count progress = new Count("p/" + i);
+            progress.urgency = KeyWriter.Urgency.PROGRESS;
+            writer.enqueue(progress);
+        }
+        writer.enqueue(new Count("hire/1"));
+        assertThat(writer.backlog()).isEqualTo(31);
+        assertThat(writer.pressing()).isEqualTo(1);
+        time.runFor(1_000_000);
+        assertThat(writer.backlog()).isEqualTo(30);
+        assertThat(writer.pressing()).isZero();
+    }
 }
