--- a/src/main/java/io/sillreel/workers/ReportRelay.java
+++ b/src/main/java/io/sillreel/workers/ReportRelay.java
@@ -23,8 +23,8 @@
      * not held up for it; with hundreds of them batches of one or two reports were most of the work of a controller.
      */
     private static final long LEAST_GATHER_MICROS = 15_000;
-    private static final long MOST_GATHER_MICROS = 100_000;
-    private static final long GATHER_PER_WORKER_MICROS = 500;
+    private static final long MOST_GATHER_MICROS = 150_000;
+    private static final long GATHER_PER_WORKER_MICROS = 1_000;
     private static final long TIMEOUT_MICROS = 2_500_000;
     private static final int MOST_REPORTS = 64;
     private static final int BATCHES_AT_ONCE = 2;
