Work that can't save goes to ordinary machines; a silent machine is given up sooner in quiet times

About a third of the machines are ordinary ones and were as likely to run kyc-audit, which saves its progress. Where there is a choice, what saves now goes to spot machines and the rest to ordinary ones.

--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -58,6 +58,7 @@
     private final CapacityPlanner capacity;
     private final Supplier<Map<String, MachineType>> types;
     private final BooleanSupplier mayAct;
+    private final BooleanSupplier undisturbed;
     private final Consumer<Machine> clear;
 
     private final Map<String, Hire> hires = new LinkedHashMap<>();
@@ -72,7 +73,7 @@
 
     public FleetKeeper(Loop loop, long term, Cluster cluster, CloudClient cloud, KeyWriter writer, Settings settings,
             OperatorProperties operator, CapacityPlanner capacity, Supplier<Map<String, MachineType>> types,
-            BooleanSupplier mayAct, Consumer<Machine> clear) {
+            BooleanSupplier mayAct, BooleanSupplier undisturbed, Consumer<Machine> clear) {
         this.loop = loop;
         this.term = term;
         this.cluster = cluster;
@@ -83,6 +84,7 @@
         this.capacity = capacity;
         this.types = types;
         this.mayAct = mayAct;
+        this.undisturbed = undisturbed;
         this.clear = clear;
         this.begunMicros = loop.nowMicros();
     }
@@ -208,7 +210,8 @@
      * hang, and they come back: then their leases are waited for.
      */
     private void retireLost(long now) {
-        long patience = settings.workers().reportMicros() * 3 / 2 + DETOUR_MICROS;
+        long patience = settings.workers().reportMicros() * 3 / 2
+                + (undisturbed.getAsBoolean() ? ROUND_MICROS : DETOUR_MICROS);
         List<Machine> lost = new ArrayList<>();
         int heard = 0;
         for (Machine machine : cluster.machines()) {
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -73,6 +73,8 @@
     private static final long UNREACHED_MICROS = 6_000_000;
     private static final long LONE_MICROS = 12_000_000;
     private static final long STAND_BACK_MICROS = 10_000_000;
+    /** A worker finds another controller within two time-outs and a report. */
+    private static final long DETOURS_OVER_MICROS = 15_000_000;
 
     private final Loop loop;
     private final StateStore store;
@@ -102,6 +104,7 @@
     private long statusMicros;
     private long reportMicros;
     private long loadedMicros;
+    private long disturbedMicros;
     private long planCostMicros;
     private long planMicros;
     private long plans;
@@ -129,7 +132,7 @@
         this.desk = new ReportDesk(loop, term, cluster, writer, settings.workers(), retries, estimates, planner, this,
                 this::mayAct);
         this.fleet = new FleetKeeper(loop, term, cluster, cloud, writer, settings, operator, capacity, types,
-                this::mayAct, desk::clear);
+                this::mayAct, this::undisturbed, desk::clear);
     }
 
     public void start() {
@@ -343,6 +346,9 @@
             sentToLook.clear();
         }
         boolean heardElsewhere = peers.fresh().stream().anyMatch(peer -> peer.unanswered() > 0);
+        if (heardElsewhere || peers.fresh().size() < settings.controllers() - 1 || !leadership.proven()) {
+            disturbedMicros = now;
+        }
         if (settings.controllers() == 1 || !heardElsewhere && !peers.silent()) {
             // Nobody else could lead, or nobody hears a worker, so there is none to hear.
             return;
@@ -355,6 +361,11 @@
         }
     }
 
+    /** True if no worker has had to look for another controller lately: then a silent one is not on its way to one. */
+    private boolean undisturbed() {
+        return loop.nowMicros() - Math.max(disturbedMicros, loadedMicros) > DETOURS_OVER_MICROS;
+    }
+
     @Override
     public Machine adopt(Report report) {
         return fleet.adopt(report.machine(), report.build(), report.yard(), report.spot());
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -330,8 +330,9 @@
         for (Space space : candidates) {
             packing.put(space, space.hasImage(spec) ? space.cpus : -Math.min(space.room(spec), queued.left));
         }
+        // What saves its progress loses little when a spot machine is taken, so the others get the ordinary ones.
         candidates.sort(Comparator.<Space>comparingLong(space -> fetchMicros(space, spec) / 2_000_000)
-                .thenComparingInt(space -> space.machine.spot() ? 0 : 1)
+                .thenComparingInt(space -> space.machine.spot() == spec.saves() ? 0 : 1)
                 .thenComparingDouble(packing::get)
                 .thenComparing(space -> space.machine.name()));
         Map<String, Integer> yardRoom = new HashMap<>();
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -32,13 +32,17 @@
     private int jobs;
 
     private Machine machine(int number) {
+        return machine(number, true);
+    }
+
+    private Machine machine(int number, boolean spot) {
         String name = "host-%06d".formatted(number);
-        var value = Json.object().put("build", "c4").put("yard", "a").put("spot", true).put("count", 1);
+        var value = Json.object().put("build", "c4").put("yard", "a").put("spot", spot).put("count", 1);
         value.putArray("machines").add(name);
-        Machine machine = new Machine(name, TYPE, "a", true, Hire.of("hire/" + name, value, 1), nowMicros,
+        Machine machine = new Machine(name, TYPE, "a", spot, Hire.of("hire/" + name, value, 1), nowMicros,
                 cluster.book());
         cluster.add(machine);
-        machine.advance(new Report(name, name + ":1", "c4", "a", true, 1, 1, 1, -1, List.of()), false, nowMicros);
+        machine.advance(new Report(name, name + ":1", "c4", "a", spot, 1, 1, 1, -1, List.of()), false, nowMicros);
         machine.trust();
         return machine;
     }
@@ -171,4 +175,16 @@
                 new Report("host-000001", "", "c4", "a", true, 1, 2, 1, -1, List.of()), false, nowMicros);
         assertThat(plan().launches().get("host-000001")).containsExactly(new Assignment(low, 1));
     }
+
+    /** Guards against long tasks on machines that may be taken, while work that saves its progress sits on the others. */
+    @Test
+    void whatSavesItsProgressGoesToSpotMachinesAndTheRestToOrdinaryOnes() {
+        Machine spot = machine(1, true);
+        Machine ordinary = machine(2, false);
+        ActiveJob other = job("free", Rank.NORMAL, 4, 1, 0, false);
+        ActiveJob saving = job("free", Rank.NORMAL, 4, 1, 0, true);
+        Map<String, List<Assignment>> launches = plan().launches();
+        assertThat(launches.get(spot.name())).containsExactly(new Assignment(saving, 4));
+        assertThat(launches.get(ordinary.name())).containsExactly(new Assignment(other, 4));
+    }
 }
--- a/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
+++ b/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
@@ -241,6 +241,19 @@
         assertThat(world.broken()).isEmpty();
     }
 
+    /** Guards against waiting, for a machine that was taken without a word, as if it might be on its way to another controller. */
+    @Test
+    void aMachineThatFallsSilentWhileNothingElseFailsIsReturnedSooner() {
+        SimWorker worker = fleetWithLongTasks();
+        world.seconds(14);
+        int lost = worker.running().size();
+        int before = world.starts();
+        world.cloud().take(worker.name());
+        world.seconds(5);
+        assertThat(world.starts()).isEqualTo(before + lost);
+        assertThat(world.broken()).isEmpty();
+    }
+
     /** Guards against giving away, in vain, machines that only can't be heard for a while. */
     @Test
     void machinesThatFallSilentTogetherAreWaitedFor() {
