--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -199,8 +199,7 @@
         boolean here = machine.state() == Machine.State.UP || machine.state() == Machine.State.LEAVING;
         if (here && machine.recalled() && machine.recallAtMicros() - now < LAST_MOMENT_MICROS
                 && !machine.condemned()) {
-            leave(machine, "the cloud takes it back");
-            machine.condemn("recalled");
+            condemn(machine, "the cloud takes it back");
         }
     }
 
@@ -229,8 +228,7 @@
         for (Machine machine : lost) {
             // Past its lease there is no hurry any more, and it may be the last of many that are just coming back.
             if (machine.leaseBoundMicros() > now) {
-                leave(machine, "it has fallen silent");
-                machine.condemn("lost");
+                condemn(machine, "it has fallen silent");
             }
         }
     }
@@ -252,16 +250,24 @@
         }
         for (Machine machine : cluster.unheard()) {
             if (now - Math.max(machine.upMicros(), begunMicros) > patience && !machine.condemned()) {
-                leave(machine, "it has not been heard, or does not hear, since the term began");
-                machine.condemn("unheard");
+                condemn(machine, "it has not been heard, or does not hear, since the term began");
             }
         }
     }
 
     private static void leave(Machine machine, String reason) {
+        tell(machine, reason);
+        machine.leave(reason);
+    }
+
+    private static void condemn(Machine machine, String reason) {
+        tell(machine, reason);
+        machine.condemn(reason);
+    }
+
+    private static void tell(Machine machine, String reason) {
         LOG.info("machine {} ({}, {}{}) is to be returned: {}", machine.name(), machine.type().name(), machine.yard(),
                 machine.spot() ? ", spot" : "", reason);
-        machine.leave(reason);
     }
 
     /** Returns machines that are leaving and empty, or silent for longer than their tasks can live. */
--- a/src/main/java/io/sillreel/fleet/Seat.java
+++ b/src/main/java/io/sillreel/fleet/Seat.java
@@ -10,34 +10,31 @@
     private final int index;
     private final long attempt;
     private final long launchTally;
-    private final long sinceMicros;
     private Machine machine;
     private Stage stage;
     private long runningSinceMicros = -1;
     private boolean holding;
     private boolean halting;
     private long haltWindDownMicros;
-    private long haltedMicros;
     private long reapTally;
 
-    private Seat(ActiveJob job, String uid, int index, long attempt, long launchTally, Stage stage, long nowMicros) {
+    private Seat(ActiveJob job, String uid, int index, long attempt, long launchTally, Stage stage) {
         this.job = job;
         this.uid = uid;
         this.index = index;
         this.attempt = attempt;
         this.launchTally = launchTally;
         this.stage = stage;
-        this.sinceMicros = nowMicros;
     }
 
     /** A launch that rides the response to the report with the given tally. */
-    public static Seat launched(ActiveJob job, int index, long attempt, long launchTally, long nowMicros) {
-        return new Seat(job, job.uid(), index, attempt, launchTally, null, nowMicros);
+    public static Seat launched(ActiveJob job, int index, long attempt, long launchTally) {
+        return new Seat(job, job.uid(), index, attempt, launchTally, null);
     }
 
     /** A task found in a report, alive or not. The job is null if it isn't driven any more. */
-    public static Seat found(ActiveJob job, String uid, int index, long attempt, Stage stage, long nowMicros) {
-        return new Seat(job, uid, index, attempt, 0, stage, nowMicros);
+    public static Seat found(ActiveJob job, String uid, int index, long attempt, Stage stage) {
+        return new Seat(job, uid, index, attempt, 0, stage);
     }
 
     /** The machine takes the task in: from now on a live one holds its piece. */
@@ -87,10 +84,6 @@
         return launchTally;
     }
 
-    public long sinceMicros() {
-        return sinceMicros;
-    }
-
     /** True as long as no report has shown the task: the launch may not have happened. */
     public boolean unconfirmed() {
         return stage == null;
@@ -119,10 +112,7 @@
         return stage == Stage.ENDED;
     }
 
-    public void halt(long windDownMicros, long nowMicros) {
-        if (!halting) {
-            haltedMicros = nowMicros;
-        }
+    public void halt(long windDownMicros) {
         halting = true;
         haltWindDownMicros = windDownMicros;
     }
@@ -146,8 +136,4 @@
     public long haltWindDownMicros() {
         return haltWindDownMicros;
     }
-
-    public long haltedMicros() {
-        return haltedMicros;
-    }
 }
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -421,9 +421,9 @@
         desk.plan(plan);
         for (Seat seat : plan.halts()) {
             LOG.debug("stopping {}/{} to make room", seat.uid(), seat.index());
-            seat.halt(seat.job().spec().stashMicros() + 1_000_000, now);
+            seat.halt(seat.job().spec().stashMicros() + 1_000_000);
+            haltsDue.add(seat.machine());
         }
-        haltsDue.addAll(plan.haltsOn().values());
         planCostMicros = loop.nowMicros() - now;
         plans++;
         planMicros += planCostMicros;
@@ -529,7 +529,7 @@
                 JobSpec spec = seat.job().spec();
                 if (spec.saves() ? left < 2 * spec.stashMicros() + 3_000_000
                         : remainingMicros(seat, now) > HOPELESS_FACTOR * left) {
-                    seat.halt(spec.saves() ? spec.stashMicros() + 1_000_000 : 0, now);
+                    seat.halt(spec.saves() ? spec.stashMicros() + 1_000_000 : 0);
                     touched.add(machine);
                 }
             }
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -49,9 +49,9 @@
      * The proposal: launches for each machine, tasks to stop in favour of others, what found no place, and machines that
      * are being emptied for a task that has waited too long.
      */
-    public record Plan(Map<String, List<Assignment>> launches, List<Seat> halts, Map<String, Machine> haltsOn,
-            List<Queued> left, Map<String, Queued> reserved) {
-        public static final Plan EMPTY = new Plan(Collections.emptyMap(), List.of(), Map.of(), List.of(), Map.of());
+    public record Plan(Map<String, List<Assignment>> launches, List<Seat> halts, List<Queued> left,
+            Map<String, Queued> reserved) {
+        public static final Plan EMPTY = new Plan(Collections.emptyMap(), List.of(), List.of(), Map.of());
     }
 
     /** How long guaranteed work waits on others before it goes ahead of them. */
@@ -140,7 +140,7 @@
             }
         }
         cluster.worked(queue.size() + cluster.machines().size());
-        Plan plan = new Plan(new HashMap<>(), new ArrayList<>(), new HashMap<>(), new ArrayList<>(), new HashMap<>());
+        Plan plan = new Plan(new HashMap<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>());
         TeamUse usage = cluster.usage();
         Preemption preemption = new Preemption(plan, guaranteed, nowMicros);
         int preempting = 0;
@@ -158,7 +158,7 @@
             for (Queued queued : level) {
                 int lacking = assign(queued, spaces, usage, plan, false);
                 if (lacking > 0 && queued.aged) {
-                    reserve(queued, spaces, plan, nowMicros);
+                    reserve(queued, plan, nowMicros);
                 }
                 if (lacking > 0 && preempting < MOST_PREEMPTING && preemption.on(queued, lacking, wallMicros)) {
                     preempting++;
@@ -371,7 +371,7 @@
      * Keeps machines free for a job that has waited too long and fits nowhere now: small tasks would else take each
      * processor as it comes free, and a large one would never find enough of them together.
      */
-    private void reserve(Queued queued, List<Space> spaces, Plan plan, long nowMicros) {
+    private void reserve(Queued queued, Plan plan, long nowMicros) {
         JobSpec spec = queued.job.spec();
         List<Machine> machines = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
@@ -540,9 +540,6 @@
                     chosen.clear();
                 }
             }
-            if (gained > 0) {
-                plan.haltsOn().put(machine.name(), machine);
-            }
             return gained;
         }
 
--- a/src/main/java/io/sillreel/statestore/KeyWriter.java
+++ b/src/main/java/io/sillreel/statestore/KeyWriter.java
@@ -93,7 +93,7 @@
         kick(GATHER_MICROS);
     }
 
-    private void add(Item item) {
+    private synchronized void add(Item item) {
         if (waiting.putIfAbsent(item.key(), item) == null) {
             sinceMicros.putIfAbsent(item.key(), loop.nowMicros());
         }
@@ -219,7 +219,7 @@
                 } else if (commit.failed().contains(item.key())) {
                     moved.add(item);
                 } else {
-                    requeue(item);
+                    add(item);
                 }
             }
             reread(moved);
@@ -230,14 +230,10 @@
             reread(batch);
             return;
         }
-        batch.forEach(this::requeue);
+        batch.forEach(this::add);
         again(RETRY_MICROS);
     }
 
-    private synchronized void requeue(Item item) {
-        add(item);
-    }
-
     /** After an unknown outcome the stamps are read anew; a late success then fails the next write, not the data. */
     private void reread(List<Item> items) {
         if (items.isEmpty()) {
@@ -251,7 +247,7 @@
                 if (reads.get(i).join().decided()) {
                     items.get(i).moved(reads.get(i).join().stamp());
                 }
-                requeue(items.get(i));
+                add(items.get(i));
             }
             again(RETRY_MICROS);
         });
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -278,13 +278,13 @@
             job = null;
         }
         boolean elsewhere = job != null && job.isSeated(piece.index());
-        Seat seat = Seat.found(job, piece.uid(), piece.index(), piece.attempt(), piece.stage(), now);
+        Seat seat = Seat.found(job, piece.uid(), piece.index(), piece.attempt(), piece.stage());
         machine.add(seat);
         if (seat.ended()) {
             ended(machine, seat, piece.cause(), now);
         } else if (elsewhere) {
             LOG.error("{}/{} is on {} and elsewhere, stopping it here", piece.uid(), piece.index(), machine.name());
-            seat.halt(0, now);
+            seat.halt(0);
         }
         return seat;
     }
@@ -417,7 +417,7 @@
                     break;
                 }
                 long attempt = (term << TERM_SHIFT) + ++attempts;
-                machine.add(Seat.launched(job, piece, attempt, report.tally(), now));
+                machine.add(Seat.launched(job, piece, attempt, report.tally()));
                 usage.take(job.spec(), 1);
                 most--;
                 orders.launch(job.uid(), piece, attempt);
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -66,7 +66,7 @@
 
     private void run(ActiveJob job, Machine machine, int tasks) {
         for (int i = 0; i < tasks; i++) {
-            Seat seat = Seat.launched(job, job.nextWaiting(), ++attempts, 0, nowMicros);
+            Seat seat = Seat.launched(job, job.nextWaiting(), ++attempts, 0);
             machine.add(seat);
             seat.seen(Stage.RUNNING, nowMicros);
         }
--- a/src/test/java/io/sillreel/sim/SimWorker.java
+++ b/src/test/java/io/sillreel/sim/SimWorker.java
@@ -116,11 +116,6 @@
         process.after(1_000, this::report);
     }
 
-    /** How many tasks ran out with a lease, or were lost with a reboot. */
-    public long shift() {
-        return shift;
-    }
-
     public int node() {
         return node;
     }
