Machines that fall silent together are not given away two at a time

All that is overdue counts now, and what was given up within the last lease. The story fails without that.

--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -40,6 +40,7 @@
     private static final int FEW_UNHEARD_PART = 100;
     /** A report with the new token follows the first one by half a second, and both may pass through a follower. */
     private static final long ROUND_MICROS = 1_500_000;
+    private static final long LATE_MICROS = 1_000_000;
     /** A recalled machine is returned so long before the cloud would take it. */
     private static final long LAST_MOMENT_MICROS = 1_500_000;
     /** A worker whose controller is gone waits 4 s for its answer and 1 s before it tries another. */
@@ -65,6 +66,7 @@
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Long> strangers = new HashMap<>();
     private final Set<Hire> wentDown = new LinkedHashSet<>();
+    private final List<Long> lostMicros = new ArrayList<>();
     private final long begunMicros;
     private long names;
     private long listedMicros = Long.MIN_VALUE / 2;
@@ -211,25 +213,30 @@
     private void retireLost(long now) {
         long patience = settings.workers().reportMicros() * 3 / 2
                 + (undisturbed.getAsBoolean() ? ROUND_MICROS : DETOUR_MICROS);
+        long usual = settings.workers().reportMicros() * 5 / 4 + LATE_MICROS;
         List<Machine> lost = new ArrayList<>();
+        int overdue = 0;
         int heard = 0;
         for (Machine machine : cluster.machines()) {
             if (machine.state() == Machine.State.UP && machine.trusted()) {
-                if (now - machine.lastReportMicros() > patience) {
+                long silent = now - machine.lastReportMicros();
+                overdue += silent > usual ? 1 : 0;
+                heard += silent > usual ? 0 : 1;
+                // Past its lease there is no hurry any more, and it may be the last of many that are just coming back.
+                if (silent > patience && machine.leaseBoundMicros() > now) {
                     lost.add(machine);
-                } else {
-                    heard++;
                 }
             }
         }
-        if (heard == 0 || lost.size() > Math.max(2, cluster.machines().size() / MOST_LOST_PART)) {
+        // Those that fall silent together come overdue one after the other: what was given up lately counts with them, or a
+        // cut zone would be given away two machines at a time.
+        lostMicros.removeIf(at -> now - at > settings.workers().leaseMicros());
+        if (heard == 0 || overdue + lostMicros.size() > Math.max(2, cluster.machines().size() / MOST_LOST_PART)) {
             return;
         }
         for (Machine machine : lost) {
-            // Past its lease there is no hurry any more, and it may be the last of many that are just coming back.
-            if (machine.leaseBoundMicros() > now) {
-                condemn(machine, "it has fallen silent");
-            }
+            condemn(machine, "it has fallen silent");
+            lostMicros.add(now);
         }
     }
 
--- a/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
+++ b/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
@@ -267,4 +267,24 @@
         assertThat(world.cloud().machines().keySet()).containsAll(silent);
         assertThat(world.broken()).isEmpty();
     }
+
+    /** Guards against giving a cut zone away two machines at a time, as their silence is noticed one after the other. */
+    @Test
+    void machinesThatFallSilentOneAfterTheOtherAreNotAllGivenAway() {
+        World many = new World(13);
+        many.seconds(2);
+        many.submit(0, World.job("job-000001", 60));
+        many.until(() -> {
+            many.cloud().machines().values().forEach(worker -> worker.runMicros(60_000_000));
+            return many.starts() >= 50;
+        });
+        List<String> silent = List.copyOf(many.cloud().machines().keySet()).subList(0, 6);
+        for (String name : silent) {
+            many.network().add((from, to, call) -> from.equals(name) ? Fate.LOSE : null);
+            many.seconds(1);
+        }
+        many.seconds(9);
+        assertThat(silent.stream().filter(many.cloud().machines()::containsKey).count()).isGreaterThanOrEqualTo(4);
+        assertThat(many.broken()).isEmpty();
+    }
 }
