--- a/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
+++ b/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
@@ -244,4 +244,62 @@
         assertThat(world.starts()).isGreaterThan(before);
         assertThat(world.broken()).isEmpty();
     }
+
+    /** Guards against a holder that stands still, and acts on what it knew when it goes on: another one leads by then. */
+    @Test
+    void aHolderThatStandsStillYieldsWhenItGoesOn() {
+        world.seconds(2);
+        world.submit(0, World.job("job-000001", 8));
+        startOn(8, 30_000_000);
+        world.cloud().machines().values().forEach(worker -> worker.runMicros(3_000_000));
+        int leader = world.leader();
+        world.freeze(leader, 10_000_000);
+        world.until(() -> world.leader() >= 0 && world.leader() != leader);
+        int next = world.leader();
+        world.submit(next, World.job("job-000002", 4));
+        world.seconds(20);
+        assertThat(world.leader()).isEqualTo(next);
+        assertThat(world.stage(leader, "job-000002")).isEqualTo("done");
+        world.seconds(30);
+        assertThat(world.stage(leader, "job-000001")).isEqualTo("done");
+        assertThat(world.starts()).isEqualTo(12);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards against reports that a follower had in hand when it stood still, and hands on when it goes on. */
+    @Test
+    void aFollowerThatStandsStillHandsOnNothingThatMatters() {
+        world.seconds(2);
+        world.submit(0, World.job("job-000001", 40));
+        startOn(16, 4_000_000);
+        int leader = world.leader();
+        int follower = (leader + 1) % 3;
+        assertThat(world.cloud().machines().values()).anyMatch(worker -> worker.node() == follower);
+        world.freeze(follower, 14_000_000);
+        world.seconds(60);
+        assertThat(world.leader()).isEqualTo(leader);
+        assertThat(world.stage(follower, "job-000001")).isEqualTo("done");
+        assertThat(world.starts()).isEqualTo(40);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards an election against a candidate that stands still with the lease half taken: nobody waits for it for long. */
+    @Test
+    void aCandidateThatStandsStillInMidElectionHoldsUpNobody() {
+        for (int halfSeconds = 4; halfSeconds <= 8; halfSeconds++) {
+            World each = new World(30 + halfSeconds);
+            each.seconds(2);
+            each.submit(0, World.job("job-000001", 8));
+            each.until(() -> each.starts() >= 8);
+            int leader = each.leader();
+            each.kill(leader);
+            each.seconds(halfSeconds / 2.0);
+            each.freeze((leader + 1) % 3, 15_000_000);
+            each.seconds(10);
+            assertThat(each.leader()).as("after %d half seconds", halfSeconds).isEqualTo((leader + 2) % 3);
+            each.seconds(60);
+            assertThat(each.stage((leader + 1) % 3, "job-000001")).isEqualTo("done");
+            assertThat(each.broken()).isEmpty();
+        }
+    }
 }
