--- a/src/test/java/io/sillreel/RandomScheduleTest.java
+++ b/src/test/java/io/sillreel/RandomScheduleTest.java
@@ -29,30 +29,30 @@
 
     @Test
     void theRulesHoldWhateverFails() {
-        Long chosen = Long.getLong("sillreel.seed");
-        if (chosen != null) {
-            play(chosen, false);
-            return;
-        }
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            play(seed, false);
-        }
-        for (long seed : BROKEN_ONCE) {
-            play(seed, false);
+        if (playSeeds(false)) {
+            for (long seed : BROKEN_ONCE) {
+                play(seed, false);
+            }
         }
     }
 
     /** The same with troubles that hit many at once, or that stop processes for a while: half of all troubles are those. */
     @Test
     void theRulesHoldWhenManyFailTogether() {
+        playSeeds(true);
+    }
+
+    /** Plays the usual seeds, or only the one that was asked for; false in that case. */
+    private static boolean playSeeds(boolean together) {
         Long chosen = Long.getLong("sillreel.seed");
         if (chosen != null) {
-            play(chosen, true);
-            return;
+            play(chosen, together);
+            return false;
         }
         for (long seed = 1; seed <= SEEDS; seed++) {
-            play(seed, true);
+            play(seed, together);
         }
+        return true;
     }
 
     private static void play(long seed, boolean together) {
--- a/src/test/java/io/sillreel/fleet/RentalStoriesTest.java
+++ b/src/test/java/io/sillreel/fleet/RentalStoriesTest.java
@@ -82,10 +82,7 @@
     void machinesThatAreAwayForLongerThanTheirLeasesAreReplaced() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 20));
-        world.until(() -> {
-            world.cloud().machines().values().forEach(worker -> worker.runMicros(40_000_000));
-            return world.starts() >= 20;
-        });
+        world.untilStarted(20, 40_000_000);
         List<String> away = List.copyOf(world.cloud().machines().keySet()).subList(0, 3);
         int rented = world.cloud().machines().size();
         assertThat(rented).isBetween(4, 10);
--- a/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
+++ b/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
@@ -13,13 +13,6 @@
 class TakeoverStoriesTest {
     private final World world = new World(1);
 
-    private void startOn(int tasks, long runMicros) {
-        world.until(() -> {
-            world.cloud().machines().values().forEach(worker -> worker.runMicros(runMicros));
-            return world.starts() >= tasks;
-        });
-    }
-
     @Test
     void aJobRunsAndEveryControllerTellsItsEnd() {
         world.seconds(2);
@@ -50,7 +43,7 @@
     void theLeaderDiesWhileTasksRunAndTheyAreNotStartedAgain() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 4));
-        startOn(4, 10_000_000);
+        world.untilStarted(4, 10_000_000);
         int leader = world.leader();
         world.kill(leader);
         world.seconds(40);
@@ -153,7 +146,7 @@
     void tasksSurviveAnOutageOfTheStateService() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 2));
-        startOn(2, 18_000_000);
+        world.untilStarted(2, 18_000_000);
         world.state().outage(true);
         world.seconds(14);
         assertThat(world.cloud().machines().values()).anyMatch(worker -> !worker.running().isEmpty());
@@ -169,7 +162,7 @@
     void aHolderCutFromTheStateServiceDoesNotKeepWithdrawnTasksAlive() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 2));
-        startOn(2, 600_000_000);
+        world.untilStarted(2, 600_000_000);
         int old = world.leader();
         String host = "10.0.0." + old;
         // The old holder and its workers see nothing of the others.
@@ -229,7 +222,7 @@
     void machinesThatWereSilentBeyondTheirLeasesHoldUpNoTakeover() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 900));
-        startOn(30, 6_000_000);
+        world.untilStarted(30, 6_000_000);
         List<String> names = List.copyOf(world.cloud().machines().keySet());
         List<String> silent = names.subList(0, names.size() / 2);
         assertThat(silent.size()).isGreaterThan(2);
@@ -250,7 +243,7 @@
     void aHolderThatStandsStillYieldsWhenItGoesOn() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 8));
-        startOn(8, 30_000_000);
+        world.untilStarted(8, 30_000_000);
         world.cloud().machines().values().forEach(worker -> worker.runMicros(3_000_000));
         int leader = world.leader();
         world.freeze(leader, 10_000_000);
@@ -271,7 +264,7 @@
     void aFollowerThatStandsStillHandsOnNothingThatMatters() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 40));
-        startOn(16, 4_000_000);
+        world.untilStarted(16, 4_000_000);
         int leader = world.leader();
         int follower = (leader + 1) % 3;
         assertThat(world.cloud().machines().values()).anyMatch(worker -> worker.node() == follower);
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -293,12 +293,17 @@
         return completed.contains(piece);
     }
 
-    /** Waits until so many tasks have started and all but those of the fullest machine, which run on, have ended. */
-    public String leaveTasksOnOneMachine(int started) {
+    /** Waits until so many tasks have started, each of which runs for so long. */
+    public void untilStarted(int tasks, long runMicros) {
         until(() -> {
-            cloud.machines().values().forEach(worker -> worker.runMicros(8 * SECOND));
-            return starts >= started;
+            cloud.machines().values().forEach(worker -> worker.runMicros(runMicros));
+            return starts >= tasks;
         });
+    }
+
+    /** Waits until so many tasks have started and all but those of the fullest machine, which run on, have ended. */
+    public String leaveTasksOnOneMachine(int started) {
+        untilStarted(started, 8 * SECOND);
         SimWorker chosen = cloud.machines().values().stream()
                 .max(Comparator.comparingInt(worker -> worker.running().size())).orElseThrow();
         chosen.prolong(300 * SECOND);
--- a/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
+++ b/src/test/java/io/sillreel/workers/TroubleStoriesTest.java
@@ -123,10 +123,7 @@
     void aLoneHolderLetsItsWorkersGoBeforeTheirTasksDie() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 4));
-        world.until(() -> {
-            world.cloud().machines().values().forEach(worker -> worker.runMicros(25_000_000));
-            return world.starts() >= 4;
-        });
+        world.untilStarted(4, 25_000_000);
         int lone = world.leader();
         String host = "10.0.0." + lone;
         world.network().add((from, to, call) -> from.equals(host) && (to.startsWith("10.0.0.") || to.startsWith("state"))
@@ -191,10 +188,7 @@
                 && call.route().equals("/machines") ? Fate.LOSE : null);
         world.seconds(2);
         world.submit(0, World.job("job-000001", 20));
-        world.until(() -> {
-            world.cloud().machines().values().forEach(worker -> worker.runMicros(40_000_000));
-            return world.starts() >= 20;
-        });
+        world.untilStarted(20, 40_000_000);
         assertThat(world.cloud().machines().size()).isGreaterThan(3);
         return busyMachine(2);
     }
@@ -217,10 +211,7 @@
     void aTaskThatCanNotEndOnARecalledMachineIsStoppedAtOnce() {
         world.seconds(2);
         world.submit(0, World.job("job-000001", 20).put("guess_s", 60.0));
-        world.until(() -> {
-            world.cloud().machines().values().forEach(worker -> worker.runMicros(60_000_000));
-            return world.starts() >= 20;
-        });
+        world.untilStarted(20, 60_000_000);
         SimWorker worker = busyMachine(2);
         world.cloud().recall(worker.name(), 30_000_000);
         world.seconds(2);
@@ -276,10 +267,7 @@
         World many = new World(13);
         many.seconds(2);
         many.submit(0, World.job("job-000001", 60));
-        many.until(() -> {
-            many.cloud().machines().values().forEach(worker -> worker.runMicros(60_000_000));
-            return many.starts() >= 50;
-        });
+        many.untilStarted(50, 60_000_000);
         List<String> silent = List.copyOf(many.cloud().machines().keySet()).subList(0, 6);
         for (String name : silent) {
             many.network().add((from, to, call) -> from.equals(name) ? Fate.LOSE : null);
