--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -1,9 +1,14 @@
 package io.sillreel;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tag;
+import io.micrometer.core.instrument.binder.MeterBinder;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.sillreel.admission.Admission;
 import io.sillreel.admission.LiveCounts;
 import io.sillreel.cloud.CloudClient;
@@ -14,6 +19,7 @@
 import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
 import io.sillreel.overload.AdaptiveLimit;
+import io.sillreel.overload.Lateness;
 import io.sillreel.ownership.Leadership;
 import io.sillreel.ownership.Tenure;
 import io.sillreel.peer.PeerMessages;
@@ -33,7 +39,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /** One controller, put together from its slices. It does no I/O of its own: time and network are handed in. */
-public final class Controller implements Leadership.Listener, LiveCounts {
+public final class Controller implements Leadership.Listener, LiveCounts, MeterBinder {
     /** Where workers report. */
     public static final String BEAT = "/agent/beat";
     private static final long HELLO_EVERY_MICROS = 1_000_000;
@@ -48,31 +54,31 @@
     private final Caller caller;
     private final Settings settings;
     private final OperatorProperties operator;
-    private final MeterRegistry metrics;
     private final StateStore store;
     private final CloudClient cloud;
     private final FlavorBook flavors;
     private final Leadership leadership;
     private final AdaptiveLimit users;
-    private final Counter reports;
-    private final Counter handed;
-    private final Counter moved;
     private final ReportRelay relay;
     private final Peers peers;
     private final WorkerSpread spread;
     private final long startedMicros;
+    private final Lateness lateness;
+    private MeterRegistry registry;
+    private long reports;
+    private long handed;
+    private long moved;
     private int unanswered;
     private int unansweredBefore;
     private Tenure tenure;
 
-    public Controller(Loop loop, Caller caller, Settings settings, OperatorProperties operator,
-            MeterRegistry metrics) {
+    public Controller(Loop loop, Caller caller, Settings settings, OperatorProperties operator) {
         this.loop = loop;
         this.caller = caller;
         this.settings = settings;
         this.operator = operator;
-        this.metrics = metrics;
         this.startedMicros = loop.nowMicros();
+        this.lateness = new Lateness(loop);
         double requests = settings.state().requestsPerSecond() * REQUEST_PART;
         double writes = settings.state().writesPerSecond() * WRITE_PART;
         double calls = settings.cloud().requestsPerSecond() * CLOUD_PART;
@@ -84,15 +90,13 @@
         this.flavors = new FlavorBook(store, cloud, loop, () -> leadership.heldTerm() > 0);
         this.users = new AdaptiveLimit(new Admission(store, loop, settings, flavors::types, this),
                 operator.maxRequests(), loop::nowMicros);
-        this.reports = metrics.counter("sillreel.reports");
-        this.handed = metrics.counter("sillreel.reports.handed");
-        this.moved = metrics.counter("sillreel.workers.moved");
         this.peers = new Peers(loop);
         this.spread = new WorkerSpread(loop, peers, settings.nodeName(), settings.workers().reportMicros());
         this.relay = new ReportRelay(loop, caller, spread::workers);
     }
 
     public void start() {
+        lateness.start();
         flavors.start();
         leadership.start();
         hello();
@@ -156,7 +160,7 @@
 
     /** A worker's report: decided here, handed on to the lease holder, or sent to where it can be. */
     private CompletableFuture<Reply> beat(Call call) {
-        reports.increment();
+        reports++;
         Report report = Report.read(call.body());
         if (report == null) {
             return answer(Reply.refusal(400, "hopper: is missing"));
@@ -174,7 +178,7 @@
             elsewhere = leader.get().nodeName();
         }
         if (elsewhere != null) {
-            moved.increment();
+            moved++;
             spread.sentOn(report.machine());
             return answer(elsewhere(elsewhere));
         }
@@ -202,7 +206,7 @@
         }
         List<Reply> replies = new ArrayList<>();
         for (Report report : PeerMessages.reports(call.body())) {
-            handed.increment();
+            handed++;
             replies.add(current.answer(report));
         }
         return new Reply(200, PeerMessages.answers(replies), 0);
@@ -273,14 +277,37 @@
         return current == null ? null : current.of(uid);
     }
 
+    /** What is counted here, for the registry of a program that embeds this, or for our own once somebody asks. */
+    @Override
+    public void bindTo(MeterRegistry to) {
+        FunctionCounter.builder("sillreel.reports", this, each -> each.reports).register(to);
+        FunctionCounter.builder("sillreel.reports.handed", this, each -> each.handed).register(to);
+        FunctionCounter.builder("sillreel.reports.passed", relay, ReportRelay::passed).register(to);
+        FunctionCounter.builder("sillreel.reports.lost", relay, ReportRelay::lost).register(to);
+        FunctionCounter.builder("sillreel.reports.batches", relay, ReportRelay::batchesSent).register(to);
+        FunctionCounter.builder("sillreel.workers.moved", this, each -> each.moved).register(to);
+        FunctionCounter.builder("sillreel.requests.refused", users, AdaptiveLimit::refused).register(to);
+        Gauge.builder("sillreel.requests.limit", users, AdaptiveLimit::limit).register(to);
+        Gauge.builder("sillreel.workers", spread, WorkerSpread::workers).register(to);
+        Gauge.builder("sillreel.leads", leadership, Leadership::heldTerm).register(to);
+        Gauge.builder("sillreel.late.ms", lateness, each -> each.micros() / 1_000.0).register(to);
+        Gauge.builder("sillreel.late.most.ms", lateness, each -> each.mostMicros() / 1_000.0).register(to);
+        new JvmMemoryMetrics().bindTo(to);
+    }
+
     private ObjectNode metrics() {
-        ObjectNode all = Json.object().put("sillreel.leads", leadership.heldTerm())
-                .put("sillreel.workers", spread.workers())
-                .put("sillreel.reports.passed", relay.passed()).put("sillreel.reports.lost", relay.lost())
-                .put("sillreel.reports.batches", relay.batchesSent())
-                .put("sillreel.requests.limit", users.limit()).put("sillreel.requests.refused", users.refused());
-        for (Meter meter : metrics.getMeters()) {
-            meter.measure().forEach(measurement -> all.put(meter.getId().getName(), measurement.getValue()));
+        if (registry == null) {
+            // Most controllers are never asked, and a start has better things to do.
+            registry = new SimpleMeterRegistry();
+            bindTo(registry);
+        }
+        ObjectNode all = Json.object();
+        for (Meter meter : registry.getMeters()) {
+            StringBuilder name = new StringBuilder(meter.getId().getName());
+            for (Tag tag : meter.getId().getTags()) {
+                name.append('/').append(tag.getValue());
+            }
+            meter.measure().forEach(measurement -> all.put(name.toString(), measurement.getValue()));
         }
         Tenure current = tenure;
         if (current != null) {
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -1,6 +1,5 @@
 package io.sillreel.cli;
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -15,8 +14,12 @@
 import io.sillreel.settings.SettingsReader;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.Callable;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
@@ -37,7 +40,20 @@
     /** Of the public ones: the rest is for users and health checks. */
     private static final double WORKERS_PART = 0.9;
 
-    @Option(names = "--config", paramLabel = "FILE", description = "The platform's settings (TOML).")
+    /**
+     * What the libraries would else find out at a start, which at a small share of a core takes seconds: the logger's
+     * backend, the host's network cards for an id that nobody uses, an allocator's arenas and flight recordings.
+     */
+    private static final Map<String, String> LIBRARY_SETTINGS = Map.of(
+            "slf4j.provider", "org.slf4j.simple.SimpleServiceProvider",
+            "slf4j.internal.verbosity", "WARN",
+            "io.netty.machineId", "00:00:00:00:00:00:00:01",
+            "io.netty.processId", "1",
+            "io.netty.allocator.type", "unpooled",
+            "io.netty.jfr.enabled", "false");
+    private static final String CONFIG = "--config";
+
+    @Option(names = CONFIG, paramLabel = "FILE", description = "The platform's settings (TOML).")
     private Path config;
 
     @Option(names = "--properties", paramLabel = "FILE", description = "The operators' own settings (Java properties).")
@@ -58,14 +74,22 @@
         }
     }
 
-    public static void main(String[] args) {
+    public static void main(String[] args) throws Exception {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
-        System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
-        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
-        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
-        System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
-        System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS");
+        for (Map.Entry<String, String> setting : LIBRARY_SETTINGS.entrySet()) {
+            System.setProperty(setting.getKey(), setting.getValue());
+        }
+        if (System.getProperty("os.name").equals("Linux")) {
+            // Else every archive of the class path is opened to look for another one.
+            System.setProperty("java.nio.channels.spi.SelectorProvider", "sun.nio.ch.EPollSelectorProvider");
+        }
+        if (args.length == 2 && args[0].equals(CONFIG)) {
+            // As the platform starts it: building the parser would be the costliest part of a start.
+            Main main = new Main();
+            main.config = Path.of(args[1]);
+            System.exit(main.call());
+        }
         System.exit(new CommandLine(new Main()).execute(args));
     }
 
@@ -101,11 +125,13 @@
 
     /** Starts a controller on one event loop. */
     static EventLoopGroup run(Settings settings, OperatorProperties operator) {
+        LoggerFactory.getLogger(Main.class).info("{} in {} starts, {} UTC", settings.nodeName(), settings.area(),
+                LocalDateTime.now(ZoneOffset.UTC));
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
                 NioIoHandler.newFactory());
         NettyLoop loop = new NettyLoop(group.next());
         HttpClient client = new HttpClient(group.next(), CONNECTIONS_PER_ADDRESS);
-        Controller controller = new Controller(loop, client, settings, operator, new SimpleMeterRegistry());
+        Controller controller = new Controller(loop, client, settings, operator);
         int connections = (int) (settings.resources().maxSockets() * PUBLIC_PART);
         new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller.BEAT,
                 (int) (connections * WORKERS_PART))
--- a/src/main/java/io/sillreel/peer/PeerMessages.java
+++ b/src/main/java/io/sillreel/peer/PeerMessages.java
@@ -1,10 +1,7 @@
 package io.sillreel.peer;
 
+import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.MissingNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
 import com.fasterxml.jackson.dataformat.cbor.CBORParser;
@@ -23,7 +20,6 @@
     public static final String BEATS = "/peer/beats";
     public static final String HELLO = "/peer/hello";
     private static final CBORFactory STREAM = new CBORFactory();
-    private static final ObjectMapper CBOR = new ObjectMapper(STREAM);
     private static final Report.Stage[] STAGES = Report.Stage.values();
 
     /**
@@ -33,16 +29,36 @@
     public record Hello(String node, String leader, long term, boolean storeAnswers, int workers, boolean serves,
             int unanswered) {
         public byte[] bytes() {
-            return write(CBOR.createObjectNode().put("node", node).put("leader", leader).put("term", term)
-                    .put("store", storeAnswers).put("workers", workers).put("serves", serves)
-                    .put("unanswered", unanswered));
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+            try (CBORGenerator out = STREAM.createGenerator(bytes)) {
+                out.writeStartArray(null, 7);
+                out.writeString(node);
+                out.writeString(leader);
+                out.writeNumber(term);
+                out.writeBoolean(storeAnswers);
+                out.writeNumber(workers);
+                out.writeBoolean(serves);
+                out.writeNumber(unanswered);
+                out.writeEndArray();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return bytes.toByteArray();
         }
 
+        /** @throws UncheckedIOException if that is not what {@link #bytes} wrote */
         public static Hello of(byte[] body) {
-            JsonNode node = read(body);
-            return new Hello(node.path("node").asText(), node.hasNonNull("leader") ? node.path("leader").asText() : null,
-                    node.path("term").asLong(), node.path("store").asBoolean(), node.path("workers").asInt(),
-                    node.path("serves").asBoolean(), node.path("unanswered").asInt());
+            try (CBORParser in = STREAM.createParser(body)) {
+                in.nextToken();
+                String node = in.nextTextValue();
+                if (node == null) {
+                    throw new JsonParseException(in, "a greeting without a name");
+                }
+                return new Hello(node, in.nextTextValue(), in.nextLongValue(0), in.nextToken() == JsonToken.VALUE_TRUE,
+                        in.nextIntValue(0), in.nextToken() == JsonToken.VALUE_TRUE, in.nextIntValue(0));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
         }
     }
 
@@ -159,21 +175,4 @@
         }
         return replies;
     }
-
-    private static JsonNode read(byte[] body) {
-        try {
-            JsonNode node = CBOR.readTree(body);
-            return node == null ? MissingNode.getInstance() : node;
-        } catch (IOException e) {
-            return MissingNode.getInstance();
-        }
-    }
-
-    private static byte[] write(ObjectNode node) {
-        try {
-            return CBOR.writeValueAsBytes(node);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/src/main/java/io/sillreel/settings/SettingsReader.java
+++ b/src/main/java/io/sillreel/settings/SettingsReader.java
@@ -2,7 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import io.sillreel.http.Json;
 import io.sillreel.settings.Settings.CloudLimits;
 import io.sillreel.settings.Settings.Member;
 import io.sillreel.settings.Settings.Objective;
@@ -37,9 +38,11 @@
     public static Settings parse(String toml) {
         JsonNode root;
         try {
-            root = new TomlMapper().readTree(toml);
+            root = Json.tree(new TomlFactory().createParser(toml));
         } catch (JsonProcessingException e) {
             throw new SettingsException("settings", "not TOML: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new SettingsException("settings", "can't be read (" + e.getClass().getSimpleName() + ")");
         }
         return settings(new Section("", root));
     }
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.sillreel.Controller;
 import io.sillreel.http.Call;
 import io.sillreel.http.Caller;
@@ -121,7 +120,7 @@
         SimTime.Process process = time.new Process();
         String host = "10.0.0." + node;
         Controller controller = new Controller(process, network.from(host, process),
-                SettingsReader.parse(toml(node, cpusMax)), OperatorProperties.defaults(), new SimpleMeterRegistry());
+                SettingsReader.parse(toml(node, cpusMax)), OperatorProperties.defaults());
         processes[node] = process;
         controllers[node] = controller;
         network.listen(host + ":8080", call -> process.awake(() -> controller.publicCall(call)));
