Requests take turns: a crowd at the door no longer costs the lease

Now public requests wait in lines, users and workers in turn, and a slice of them is taken up between two looks at the network and at the timers; who gave up is passed over, and once the line is long the newest go first. A report is not read where nobody leads. One late batch no longer sends a follower's workers to the holder by themselves.

The fakes know slow processors, and so does the random schedule.

--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -18,6 +18,8 @@
 import io.sillreel.http.Json;
 import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
+import io.sillreel.http.Turns;
+import io.sillreel.http.Turns.Line;
 import io.sillreel.overload.AdaptiveLimit;
 import io.sillreel.overload.Lateness;
 import io.sillreel.ownership.Leadership;
@@ -40,10 +42,11 @@
 
 /** One controller, put together from its slices. It does no I/O of its own: time and network are handed in. */
 public final class Controller implements Leadership.Listener, LiveCounts, MeterBinder {
-    /** Where workers report. */
-    public static final String BEAT = "/agent/beat";
+    private static final String BEAT = "/agent/beat";
+    private static final String UP = "/up";
     private static final long HELLO_EVERY_MICROS = 1_000_000;
     private static final long HELLO_TIMEOUT_MICROS = 900_000;
+    private static final Reply NOBODY_LEADS = Reply.later(503, "nobody holds the lease", 1);
     private static final long STORE_SILENCE_MICROS = 4_000_000;
     /** The parts of the shared rates that one of several controllers allows itself. */
     private static final double REQUEST_PART = 0.5;
@@ -64,6 +67,7 @@
     private final WorkerSpread spread;
     private final long startedMicros;
     private final Lateness lateness;
+    private final Turns turns;
     private MeterRegistry registry;
     private long reports;
     private long handed;
@@ -79,6 +83,7 @@
         this.operator = operator;
         this.startedMicros = loop.nowMicros();
         this.lateness = new Lateness(loop);
+        this.turns = new Turns(loop);
         double requests = settings.state().requestsPerSecond() * REQUEST_PART;
         double writes = settings.state().writesPerSecond() * WRITE_PART;
         double calls = settings.cloud().requestsPerSecond() * CLOUD_PART;
@@ -102,6 +107,20 @@
         hello();
     }
 
+    /** Where a public request waits for its turn: health checks nowhere, workers apart from users. */
+    public static Line line(Call call) {
+        return switch (call.route()) {
+            case UP -> Line.AT_ONCE;
+            case BEAT -> Line.CROWD;
+            default -> Line.USERS;
+        };
+    }
+
+    /** The turns that the public requests take. */
+    public Turns turns() {
+        return turns;
+    }
+
     /** What users, workers and health checks ask. */
     public CompletableFuture<Reply> publicCall(Call call) {
         String route = call.route();
@@ -111,7 +130,7 @@
         if (route.equals(BEAT)) {
             return call.method().equals("POST") ? beat(call) : answer(Reply.refusal(405, "use POST"));
         }
-        if (route.equals("/up")) {
+        if (route.equals(UP)) {
             return answer(call.method().equals("GET") ? up() : Reply.refusal(405, "use GET"));
         }
         return answer(Reply.refusal(404, "no such path"));
@@ -161,15 +180,16 @@
     /** A worker's report: decided here, handed on to the lease holder, or sent to where it can be. */
     private CompletableFuture<Reply> beat(Call call) {
         reports++;
-        Report report = Report.read(call.body());
-        if (report == null) {
-            return answer(Reply.refusal(400, "hopper: is missing"));
-        }
         Tenure current = tenure;
         Optional<Member> leader = current != null ? Optional.empty() : leader();
         if (current == null && leader.isEmpty()) {
+            // Not even read: right after a start hundreds ask, and the election can't wait for that.
             unanswered++;
-            return answer(Reply.later(503, "nobody holds the lease", 1));
+            return answer(NOBODY_LEADS);
+        }
+        Report report = Report.read(call.body());
+        if (report == null) {
+            return answer(Reply.refusal(400, "hopper: is missing"));
         }
         spread.seen(report.machine());
         String elsewhere = spread.moveTo(report.machine());
@@ -292,6 +312,8 @@
         Gauge.builder("sillreel.leads", leadership, Leadership::heldTerm).register(to);
         Gauge.builder("sillreel.late.ms", lateness, each -> each.micros() / 1_000.0).register(to);
         Gauge.builder("sillreel.late.most.ms", lateness, each -> each.mostMicros() / 1_000.0).register(to);
+        Gauge.builder("sillreel.requests.waiting", turns, Turns::waiting).register(to);
+        FunctionCounter.builder("sillreel.requests.given.up", turns, Turns::givenUp).register(to);
         new JvmMemoryMetrics().bindTo(to);
     }
 
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -133,7 +133,7 @@
         HttpClient client = new HttpClient(group.next(), CONNECTIONS_PER_ADDRESS);
         Controller controller = new Controller(loop, client, settings, operator);
         int connections = (int) (settings.resources().maxSockets() * PUBLIC_PART);
-        new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller.BEAT,
+        new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller::line, controller.turns(),
                 (int) (connections * WORKERS_PART))
                 .listen(settings.publicAddress(), controller::publicCall);
         new HttpServer(group, MAX_BATCH_BYTES, CONNECTIONS_INSIDE)
--- a/src/main/java/io/sillreel/http/HttpServer.java
+++ b/src/main/java/io/sillreel/http/HttpServer.java
@@ -23,8 +23,11 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.sillreel.http.Turns.Line;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,21 +44,28 @@
     private final EventLoopGroup group;
     private final int maxBodyBytes;
     private final int maxConnections;
-    private final String crowd;
+    private final Function<Call, Line> lines;
+    private final Turns turns;
     private final int maxCrowd;
     private int connections;
     private int crowded;
 
+    /** A listener whose requests are all taken up as they come. */
     public HttpServer(EventLoopGroup group, int maxBodyBytes, int maxConnections) {
-        this(group, maxBodyBytes, maxConnections, null, 0);
+        this(group, maxBodyBytes, maxConnections, call -> Line.AT_ONCE, null, 0);
     }
 
-    /** @param crowd the route that may be asked over {@code maxCrowd} of the connections at once */
-    public HttpServer(EventLoopGroup group, int maxBodyBytes, int maxConnections, String crowd, int maxCrowd) {
+    /**
+     * @param lines which line a request waits in
+     * @param maxCrowd how many of the connections may ask what waits in the crowd's line
+     */
+    public HttpServer(EventLoopGroup group, int maxBodyBytes, int maxConnections, Function<Call, Line> lines, Turns turns,
+            int maxCrowd) {
         this.group = group;
         this.maxBodyBytes = maxBodyBytes;
         this.maxConnections = maxConnections;
-        this.crowd = crowd;
+        this.lines = lines;
+        this.turns = turns;
         this.maxCrowd = maxCrowd;
     }
 
@@ -121,8 +131,8 @@
         }
 
         /** True if the connection belongs to the crowd and there is no place left for it. */
-        private boolean turnsAway(Call call) {
-            if (counted || crowd == null || !call.route().equals(crowd)) {
+        private boolean turnsAway(Line line) {
+            if (counted || line != Line.CROWD) {
                 return false;
             }
             if (crowded >= maxCrowd) {
@@ -152,13 +162,20 @@
                 return;
             }
             Call call = new Call(request.method().name(), request.uri(), body);
-            if (turnsAway(call)) {
+            Line line = lines.apply(call);
+            if (turnsAway(line)) {
                 write(ctx, Reply.later(503, "too many connections", 1), false);
-                return;
+            } else if (line == Line.AT_ONCE) {
+                answer(ctx, call, keepAlive);
+            } else {
+                turns.await(line, ctx.channel()::isActive, () -> answer(ctx, call, keepAlive));
             }
-            handler.handle(call).whenComplete((reply, failure) -> {
+        }
+
+        private void answer(ChannelHandlerContext ctx, Call call, boolean keepAlive) {
+            handle(call).whenComplete((reply, failure) -> {
                 if (failure != null) {
-                    LOG.error("a request could not be handled: {} {}", request.method(), request.uri(), failure);
+                    LOG.error("a request could not be handled: {} {}", call.method(), call.path(), failure);
                     write(ctx, Reply.later(503, "internal error", 1), keepAlive);
                 } else {
                     write(ctx, reply, keepAlive);
@@ -166,6 +183,15 @@
             });
         }
 
+        /** A handler that fails at once is no different from one that fails later. */
+        private CompletableFuture<Reply> handle(Call call) {
+            try {
+                return handler.handle(call);
+            } catch (RuntimeException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
         private void write(ChannelHandlerContext ctx, Reply reply, boolean keepAlive) {
             FullHttpResponse response = response(reply);
             if (keepAlive) {
--- /dev/null
+++ b/src/main/java/io/sillreel/http/Turns.java
@@ -0,0 +1,102 @@
+package io.sillreel.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Requests wait here for their turn on the loop, users and the crowd in lines of their own that take turns. Between two
+ * looks at the network and at the timers only a slice of them is taken up: with hundreds of workers at the door and a
+ * twentieth of a core, one round over all of them would last longer than the lease that is to be renewed meanwhile.
+ *
+ * <p>Whoever has given up is passed over. Once the line is so long that whoever has waited longest is about to give up, the
+ * newest go first: else everybody would be served a moment too late.
+ */
+public final class Turns {
+    /** Where a request waits; what is asked to see whether this process is alive does not wait. */
+    public enum Line { AT_ONCE, USERS, CROWD }
+
+    private static final int MOST_IN_A_SLICE = 16;
+    private static final long SLICE_MICROS = 20_000;
+    /** Users wait two seconds for an answer to a question, workers four. */
+    private static final long BEHIND_MICROS = 1_000_000;
+
+    private record Turn(long sinceMicros, BooleanSupplier wanted, Runnable work) {
+    }
+
+    private final Loop loop;
+    private final Deque<Turn> users = new ArrayDeque<>();
+    private final Deque<Turn> crowd = new ArrayDeque<>();
+    private boolean crowdNext;
+    private boolean due;
+    private long givenUp;
+
+    public Turns(Loop loop) {
+        this.loop = loop;
+    }
+
+    /** Does the work when its turn comes, unless nobody wants it any more by then. */
+    public void await(Line line, BooleanSupplier wanted, Runnable work) {
+        if (line == Line.AT_ONCE) {
+            work.run();
+            return;
+        }
+        synchronized (this) {
+            (line == Line.USERS ? users : crowd).add(new Turn(loop.nowMicros(), wanted, work));
+            if (due) {
+                return;
+            }
+            due = true;
+        }
+        loop.after(0, this::slice);
+    }
+
+    private void slice() {
+        long begun = loop.nowMicros();
+        for (int done = 0; done < MOST_IN_A_SLICE && loop.nowMicros() - begun < SLICE_MICROS; done++) {
+            Turn turn = next();
+            if (turn == null) {
+                return;
+            }
+            turn.work().run();
+        }
+        // Not at once: a timer, however short, lets the network be looked at first.
+        loop.after(1, this::slice);
+    }
+
+    private synchronized Turn next() {
+        crowdNext = !crowdNext;
+        Turn turn = next(crowdNext ? crowd : users);
+        if (turn == null) {
+            turn = next(crowdNext ? users : crowd);
+        }
+        due = turn != null;
+        return turn;
+    }
+
+    private Turn next(Deque<Turn> line) {
+        while (!line.isEmpty()) {
+            boolean behind = loop.nowMicros() - line.peekFirst().sinceMicros() > BEHIND_MICROS;
+            if (!line.peekFirst().wanted().getAsBoolean()) {
+                line.removeFirst();
+                givenUp++;
+                continue;
+            }
+            Turn turn = behind ? line.pollLast() : line.pollFirst();
+            if (turn.wanted().getAsBoolean()) {
+                return turn;
+            }
+            givenUp++;
+        }
+        return null;
+    }
+
+    /** Requests whose askers gave up before their turn came. */
+    public synchronized long givenUp() {
+        return givenUp;
+    }
+
+    public synchronized int waiting() {
+        return users.size() + crowd.size();
+    }
+}
--- a/src/main/java/io/sillreel/workers/ReportRelay.java
+++ b/src/main/java/io/sillreel/workers/ReportRelay.java
@@ -30,6 +30,11 @@
     private static final int BATCHES_AT_ONCE = 2;
     /** After a batch was lost nothing is handed on for so long. */
     private static final long BROKEN_MICROS = 2_000_000;
+    /**
+     * One batch without an answer may just be late, at a holder that has much to do; sending its workers there by themselves
+     * would give it more. One that could not even be sent, or two in a row, mean that there is no way.
+     */
+    private static final int LATE_BATCHES = 1;
     private static final Reply LOST = Reply.later(503, "the lease holder can't be reached", 1);
 
     private record Waiting(Report report, CompletableFuture<Reply> answer) {
@@ -41,6 +46,7 @@
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private String leader = "";
     private int batches;
+    private int unansweredInARow;
     private boolean gathering;
     private long brokenUntilMicros = Long.MIN_VALUE;
     private long passed;
@@ -77,6 +83,7 @@
             if (!leader.equals(leaderAddress)) {
                 leader = leaderAddress;
                 brokenUntilMicros = Long.MIN_VALUE;
+                unansweredInARow = 0;
             }
             waiting.add(new Waiting(report, answer));
             if (gathering || batches >= BATCHES_AT_ONCE) {
@@ -118,9 +125,13 @@
                 batches--;
                 if (replies.size() != batch.size()) {
                     lost += batch.size();
-                    brokenUntilMicros = to.equals(leader) ? loop.nowMicros() + BROKEN_MICROS : brokenUntilMicros;
+                    boolean broken = reply.status() != Reply.NO_ANSWER || ++unansweredInARow > LATE_BATCHES;
+                    if (broken && to.equals(leader)) {
+                        brokenUntilMicros = loop.nowMicros() + BROKEN_MICROS;
+                    }
                 } else {
                     passed += batch.size();
+                    unansweredInARow = 0;
                 }
                 more = !waiting.isEmpty() && !gathering;
                 gathering |= more;
--- a/src/test/java/io/sillreel/RandomScheduleTest.java
+++ b/src/test/java/io/sillreel/RandomScheduleTest.java
@@ -94,6 +94,7 @@
         cuts.forEach(world.network()::remove);
         world.network().release();
         for (int node = 0; node < nodes; node++) {
+            world.slow(node, 0);
             if (!world.isUp(node)) {
                 world.restart(node);
             }
@@ -169,7 +170,15 @@
     private static void troubleForMany(World world, Random random, List<Rule> cuts) {
         int node = random.nextInt(world.nodes());
         List<SimWorker> machines = List.copyOf(world.cloud().machines().values());
-        switch (random.nextInt(7)) {
+        switch (random.nextInt(9)) {
+            case 7 -> slow(world, random);
+            case 8 -> {
+                // All crash and come back late for what awaits them.
+                for (int each = 0; each < world.nodes(); each++) {
+                    world.restart(each);
+                }
+                slow(world, random);
+            }
             case 0 -> world.freeze(node, random.nextInt(20_000_000));
             case 1 -> {
                 if (world.leader() >= 0) {
@@ -204,6 +213,14 @@
         }
     }
 
+    /** Each controller takes its time over what it does, for ever or until it is started again. */
+    private static void slow(World world, Random random) {
+        long slowest = 1_000L << random.nextInt(8);
+        for (int each = 0; each < world.nodes(); each++) {
+            world.slow(each, random.nextInt(3) == 0 ? 0 : slowest);
+        }
+    }
+
     /** The machine's reports arrive, but neither answers nor commands reach it. */
     private static Rule deaf(String machine) {
         return (from, to, call) -> from.equals(machine) ? Fate.LOSE_ANSWER : to.startsWith(machine) ? Fate.LOSE : null;
--- a/src/test/java/io/sillreel/http/HttpTest.java
+++ b/src/test/java/io/sillreel/http/HttpTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.sillreel.http.Turns.Line;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -58,7 +59,9 @@
 
     @Test
     void theCrowdLeavesConnectionsForTheOthers() {
-        HttpServer server = new HttpServer(group, HttpServer.MAX_BODY_BYTES, 10, "/beat", 2);
+        HttpServer server = new HttpServer(group, HttpServer.MAX_BODY_BYTES, 10,
+                call -> call.route().equals("/beat") ? Line.CROWD : Line.AT_ONCE,
+                new Turns(new NettyLoop(group.next())), 2);
         Channel listening = server.listen(new InetSocketAddress("127.0.0.1", 0),
                 call -> CompletableFuture.completedFuture(Reply.of(200, Json.object())));
         String address = "127.0.0.1:" + ((InetSocketAddress) listening.localAddress()).getPort();
--- a/src/test/java/io/sillreel/sim/SimNetwork.java
+++ b/src/test/java/io/sillreel/sim/SimNetwork.java
@@ -3,6 +3,7 @@
 import io.sillreel.http.Call;
 import io.sillreel.http.Caller;
 import io.sillreel.http.Handler;
+import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -65,7 +66,8 @@
     public Caller from(String host, SimTime.Process process) {
         return (to, call, timeoutMicros) -> {
             CompletableFuture<Reply> answer = new CompletableFuture<>();
-            process.after(timeoutMicros, () -> answer.complete(Reply.noAnswer()));
+            Loop.Timer timer = process.after(timeoutMicros, () -> answer.complete(Reply.noAnswer()));
+            answer.thenRun(timer::cancel);
             Fate fate = Fate.DELIVER;
             for (Rule rule : rules) {
                 Fate said = rule.fate(host, to, call);
--- a/src/test/java/io/sillreel/sim/SimTime.java
+++ b/src/test/java/io/sillreel/sim/SimTime.java
@@ -38,6 +38,17 @@
     public final class Process implements Loop {
         private boolean killed;
         private long frozenUntilMicros;
+        private long taskMicros;
+
+        /** From now on whatever it does takes so long, and what comes meanwhile waits. */
+        public void slow(long microsPerTask) {
+            taskMicros = microsPerTask;
+        }
+
+        /** What it is doing takes so long. */
+        public void works(long micros) {
+            frozenUntilMicros = Math.max(frozenUntilMicros, nowMicros) + micros;
+        }
 
         /** Stands still for so long while its clocks run on; what should have happened meanwhile happens then. */
         public void freeze(long forMicros) {
@@ -47,6 +58,7 @@
         /** Does it now or, if the process stands still, once it goes on. */
         <T> CompletableFuture<T> awake(Supplier<CompletableFuture<T>> work) {
             if (nowMicros >= frozenUntilMicros) {
+                works(taskMicros);
                 return work.get();
             }
             CompletableFuture<T> later = new CompletableFuture<>();
@@ -58,6 +70,7 @@
             if (nowMicros < frozenUntilMicros) {
                 SimTime.this.after(frozenUntilMicros - nowMicros, () -> run(task, cancelled));
             } else if (!killed && !cancelled[0]) {
+                works(taskMicros);
                 task.run();
             }
         }
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -26,6 +27,7 @@
 public final class World {
     private static final long SECOND = 1_000_000;
     private static final int USUAL_NODES = 3;
+    private static final long ASKER_WAITS_MICROS = 4 * SECOND;
 
     private final SimTime time = new SimTime();
     private final SimNetwork network;
@@ -123,11 +125,24 @@
                 SettingsReader.parse(toml(node, cpusMax)), OperatorProperties.defaults());
         processes[node] = process;
         controllers[node] = controller;
-        network.listen(host + ":8080", call -> process.awake(() -> controller.publicCall(call)));
+        network.listen(host + ":8080", call -> process.awake(() -> inTurn(controller, call)));
         network.listen(host + ":8081", call -> process.awake(() -> controller.internalCall(call)));
         controller.start();
     }
 
+    private CompletableFuture<Reply> inTurn(Controller controller, Call call) {
+        CompletableFuture<Reply> answer = new CompletableFuture<>();
+        long givenUpMicros = time.nowMicros() + ASKER_WAITS_MICROS;
+        controller.turns().await(Controller.line(call), () -> time.nowMicros() < givenUpMicros,
+                () -> controller.publicCall(call).thenAccept(answer::complete));
+        return answer;
+    }
+
+    /** From now on whatever the controller does takes so long. */
+    public void slow(int node, long microsPerTask) {
+        processes[node].slow(microsPerTask);
+    }
+
     /** Ends the process at once, without a word to anybody. */
     public void kill(int node) {
         processes[node].kill();
--- a/src/test/java/io/sillreel/workers/ReportRelayTest.java
+++ b/src/test/java/io/sillreel/workers/ReportRelayTest.java
@@ -52,4 +52,22 @@
     void fewWorkersDoNotWaitForEachOther() {
         assertThat(play(10)).isGreaterThan(90);
     }
+
+    private ReportRelay handedOnTo(Reply reply, int batches) {
+        ReportRelay relay = new ReportRelay(time.new Process(),
+                (address, call, timeout) -> CompletableFuture.completedFuture(reply), () -> 1);
+        for (int i = 0; i < batches; i++) {
+            relay.pass(new Report("host-000001", "", "c4", "a", true, 1, i, 1, -1, List.of()), "leader:1");
+            time.runFor(100_000);
+        }
+        return relay;
+    }
+
+    /** Guards a holder that is only late against the workers themselves, who would be more work than their batches. */
+    @Test
+    void oneLateBatchSendsNobodyToTheHolder() {
+        assertThat(handedOnTo(Reply.noAnswer(), 1).works("leader:1")).isTrue();
+        assertThat(handedOnTo(Reply.noAnswer(), 2).works("leader:1")).isFalse();
+        assertThat(handedOnTo(Reply.notSent(), 1).works("leader:1")).isFalse();
+    }
 }
