--- /dev/null
+++ b/src/test/java/io/sillreel/load/StandIns.java
@@ -0,0 +1,247 @@
+package io.sillreel.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.sillreel.http.Call;
+import io.sillreel.http.HttpClient;
+import io.sillreel.http.Json;
+import io.sillreel.http.Loop;
+import io.sillreel.http.Reply;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/** A cloud and its machines on real sockets, as far as a load needs them: nothing fails, nothing is checked. */
+final class StandIns {
+    private static final long SECOND = 1_000_000;
+    private static final long ANSWER_MICROS = 4 * SECOND;
+    private static final int CPUS = 4;
+
+    private final EventLoop eventLoop;
+    private final Loop loop;
+    private final List<String> controllers;
+    private final int capacity;
+    private final long reportMicros;
+    private final Random random = new Random(1);
+    private final TreeMap<String, Worker> workers = new TreeMap<>();
+    private final Map<String, ArrayNode> hires = new LinkedHashMap<>();
+    private long answered;
+    private long refused;
+    private long launched;
+    /** When a task of a job that is named so was last launched. */
+    private final Map<String, Long> launchedMicros = new LinkedHashMap<>();
+
+    StandIns(EventLoop eventLoop, Loop loop, List<String> controllers, int capacity, long reportMicros) {
+        this.eventLoop = eventLoop;
+        this.loop = loop;
+        this.controllers = controllers;
+        this.capacity = capacity;
+        this.reportMicros = reportMicros;
+    }
+
+    long answered() {
+        return answered;
+    }
+
+    long refused() {
+        return refused;
+    }
+
+    long launched() {
+        return launched;
+    }
+
+    int machines() {
+        return workers.size();
+    }
+
+    /** True if a task of one of the jobs has been launched since. */
+    boolean launchedSince(long micros, java.util.Set<String> jobs) {
+        return launchedMicros.entrySet().stream().anyMatch(entry -> entry.getValue() > micros
+                && jobs.contains(entry.getKey()));
+    }
+
+    CompletableFuture<Reply> cloud(Call call) {
+        return CompletableFuture.completedFuture(switch (call.method() + " " + call.route()) {
+            case "GET /flavors" -> Reply.of(200, flavors());
+            case "POST /machines" -> hire(Json.parse(call.body()));
+            case "POST /machines/return" -> {
+                Json.parse(call.body()).path("hoppers").forEach(name -> {
+                    Worker gone = workers.remove(name.asText());
+                    if (gone != null) {
+                        gone.gone = true;
+                    }
+                });
+                yield Reply.of(200, Json.object());
+            }
+            default -> list();
+        });
+    }
+
+    private static ObjectNode flavors() {
+        ObjectNode body = Json.object();
+        body.putArray("builds").addObject().put("sku", "c4").put("vcpus", CPUS).put("cards", 0).put("ram_gb", 16)
+                .put("cache_gb", 50).put("pull_gb_per_s", 1.0).put("price", 1.0).put("spot_price", 0.5).put("boot_s", 2)
+                .putArray("yards").add("a");
+        return body;
+    }
+
+    private Reply hire(JsonNode body) {
+        ArrayNode names = hires.computeIfAbsent(body.path("hire").asText(), request -> {
+            ArrayNode fresh = Json.array();
+            for (int i = 0; i < body.path("count").asInt() && workers.size() < capacity; i++) {
+                Worker worker = new Worker("host-%06d".formatted(hires.size() * 100 + i), random.nextInt(controllers.size()));
+                workers.put(worker.name, worker);
+                fresh.add(worker.name);
+                loop.after(SECOND + random.nextInt((int) SECOND), worker::report);
+            }
+            return fresh;
+        });
+        if (names.isEmpty()) {
+            return Reply.refusal(503, "no capacity");
+        }
+        ObjectNode answer = Json.object();
+        answer.set("hoppers", names);
+        return Reply.of(200, answer);
+    }
+
+    private Reply list() {
+        ObjectNode body = Json.object().put("truncated", false);
+        ArrayNode hoppers = body.putArray("hoppers");
+        workers.keySet().forEach(name -> hoppers.addObject().put("uid", name).put("addr", "127.0.0.1:1")
+                .put("build", "c4").put("yard", "a").put("loaners", true).put("stage", "running").put("age_s", 1.0));
+        return Reply.of(200, body);
+    }
+
+    private final class Worker {
+        private final String name;
+        private final HttpClient client = new HttpClient(eventLoop, 1);
+        private final Map<String, ObjectNode> tasks = new LinkedHashMap<>();
+        private final Map<String, Long> ends = new LinkedHashMap<>();
+        private int node;
+        private long tally;
+        private long baton;
+        private boolean gone;
+
+        Worker(String name, int node) {
+            this.name = name;
+            this.node = node;
+        }
+
+        void report() {
+            if (gone) {
+                return;
+            }
+            long now = loop.nowMicros();
+            ends.forEach((key, at) -> {
+                if (at <= now && !tasks.get(key).has("cause")) {
+                    tasks.get(key).put("stage", "ended").put("cause", "done");
+                }
+            });
+            ObjectNode body = Json.object().put("hopper", name).put("addr", "127.0.0.1:1").put("build", "c4")
+                    .put("yard", "a").put("loaners", true).put("shift", 1).put("tally", ++tally).put("baton", baton);
+            ArrayNode pieces = body.putArray("pieces");
+            tasks.values().forEach(pieces::add);
+            client.call(controllers.get(node), Call.post("/agent/beat", body), ANSWER_MICROS).thenAccept(this::answered);
+        }
+
+        private void answered(Reply reply) {
+            if (reply.status() == 421) {
+                node = Integer.parseInt(reply.json().path("foreman").asText().substring("hopper-".length()));
+                loop.after(SECOND / 4, this::report);
+                return;
+            }
+            if (!reply.ok()) {
+                refused++;
+                node = (node + 1) % controllers.size();
+                loop.after(SECOND, this::report);
+                return;
+            }
+            answered++;
+            JsonNode body = reply.json();
+            boolean changed = body.path("baton").asLong() > baton;
+            baton = Math.max(baton, body.path("baton").asLong());
+            for (JsonNode order : body.path("orders")) {
+                String piece = order.path("piece").asText();
+                String key = piece + "#" + order.path("try").asLong();
+                changed = true;
+                if (order.path("verb").asText().equals("launch")) {
+                    launched++;
+                    launchedMicros.put(piece.substring(0, piece.indexOf('/')), loop.nowMicros());
+                    tasks.putIfAbsent(key, Json.object().put("piece", piece).put("try", order.path("try").asLong())
+                            .put("stage", "running"));
+                    ends.putIfAbsent(key, loop.nowMicros() + 10 * SECOND + random.nextInt((int) (20 * SECOND)));
+                } else {
+                    tasks.remove(key);
+                    ends.remove(key);
+                }
+            }
+            long spread = reportMicros * 3 / 4 + random.nextInt((int) reportMicros / 2);
+            loop.after(changed ? SECOND / 2 : spread, this::report);
+        }
+    }
+
+    /** Jobs that were submitted and are not known to be done. */
+    static final class Users {
+        private final Loop loop;
+        private final HttpClient client;
+        private final List<String> controllers;
+        private final List<String> open = new ArrayList<>();
+        private final Random random = new Random(2);
+        private int jobs;
+        private long asked;
+
+        Users(EventLoop eventLoop, Loop loop, List<String> controllers) {
+            this.loop = loop;
+            this.client = new HttpClient(eventLoop, 8);
+            this.controllers = controllers;
+        }
+
+        List<String> open() {
+            return List.copyOf(open);
+        }
+
+        long asked() {
+            return asked;
+        }
+
+        private CompletableFuture<Reply> ask(Call call) {
+            asked++;
+            return client.call(controllers.get(random.nextInt(controllers.size())), call, 2 * SECOND);
+        }
+
+        void submitEvery(long micros, int pieces) {
+            String uid = "job-%06d".formatted(++jobs);
+            ObjectNode job = Json.object().put("uid", uid).put("lot", "l").put("crew", "t").put("form", "sweep")
+                    .put("rank", "normal").put("pieces", pieces).put("vcpus", 1.0).put("cards", 0.0).put("ram_gb", 1.0)
+                    .put("reel", "img").put("image_gb", 1.0).put("one_zone", false).put("spread", false)
+                    .put("loaners", true).put("guess_s", 20.0).put("mark_every_s", 0.0).put("stash_s", 0.0)
+                    .put("due_s", 100.0);
+            ask(Call.post("/v2/runs", job)).thenAccept(reply -> {
+                if (reply.status() == 201) {
+                    open.add(uid);
+                }
+            });
+            loop.after(micros, () -> submitEvery(micros, pieces));
+        }
+
+        void pollEvery(long micros) {
+            for (Iterator<String> each = List.copyOf(open).iterator(); each.hasNext();) {
+                String uid = each.next();
+                ask(Call.get("/v2/runs/" + uid)).thenAccept(reply -> {
+                    if (reply.json().path("stage").asText().equals("done")) {
+                        open.remove(uid);
+                    }
+                });
+            }
+            loop.after(micros, () -> pollEvery(micros));
+        }
+    }
+}
