--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -100,10 +100,14 @@
         this.relay = new ReportRelay(loop, caller, spread::workers);
     }
 
-    public void start() {
+    /**
+     * @param open lets the public in: hundreds of workers that are refused once a second would else take the processor from
+     *     the very election that they wait for
+     */
+    public void start(Runnable open) {
         lateness.start();
+        leadership.start(open);
         flavors.start();
-        leadership.start();
         hello();
     }
 
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -133,12 +133,17 @@
         HttpClient client = new HttpClient(group.next(), CONNECTIONS_PER_ADDRESS);
         Controller controller = new Controller(loop, client, settings, operator);
         int connections = (int) (settings.resources().maxSockets() * PUBLIC_PART);
-        new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller::line, controller.turns(),
-                (int) (connections * WORKERS_PART))
-                .listen(settings.publicAddress(), controller::publicCall);
+        HttpServer users = new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller::line,
+                controller.turns(), (int) (connections * WORKERS_PART));
         new HttpServer(group, MAX_BATCH_BYTES, CONNECTIONS_INSIDE)
                 .listen(settings.internalAddress(), controller::internalCall);
-        loop.execute(controller::start);
+        loop.execute(() -> controller.start(() -> users.bind(settings.publicAddress(), controller::publicCall)
+                .addListener(bound -> {
+                    if (!bound.isSuccess()) {
+                        System.err.println("sillreel: public_addr: can't be listened on: " + bound.cause().getMessage());
+                        System.exit(BAD_SETTINGS);
+                    }
+                })));
         return group;
     }
 }
--- a/src/main/java/io/sillreel/http/HttpServer.java
+++ b/src/main/java/io/sillreel/http/HttpServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -71,6 +72,11 @@
 
     /** Listens on the address, or fails with a plain message. */
     public Channel listen(InetSocketAddress address, Handler handler) {
+        return bind(address, handler).syncUninterruptibly().channel();
+    }
+
+    /** Begins to listen on the address; may be called in the loop. */
+    public ChannelFuture bind(InetSocketAddress address, Handler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -92,7 +98,7 @@
                                 .addLast(new Dispatch(handler));
                     }
                 });
-        return bootstrap.bind(address).syncUninterruptibly().channel();
+        return bootstrap.bind(address);
     }
 
     private static FullHttpResponse response(Reply reply) {
--- a/src/main/java/io/sillreel/ownership/Leadership.java
+++ b/src/main/java/io/sillreel/ownership/Leadership.java
@@ -49,6 +49,7 @@
     private long proofMicros;
     private boolean renewing;
     private long notBeforeMicros = Long.MIN_VALUE;
+    private Runnable onSettled = () -> { };
 
     public Leadership(StateStore store, Loop loop, String node, long leaseMicros, Listener listener) {
         this.store = store;
@@ -58,10 +59,18 @@
         this.listener = listener;
     }
 
-    public void start() {
+    /** @param settled done once it is known who leads, or that this can't be known now */
+    public void start(Runnable settled) {
+        onSettled = settled;
         look();
     }
 
+    private void settled() {
+        Runnable then = onSettled;
+        onSettled = () -> { };
+        then.run();
+    }
+
     public synchronized Leader known() {
         return known;
     }
@@ -112,6 +121,7 @@
     private void look() {
         store.list(LEADER_KEY).thenAccept(listing -> {
             if (listing.outcome() != Outcome.OK) {
+                settled();
                 loop.after(RETRY_MICROS, this::look);
                 return;
             }
@@ -125,6 +135,7 @@
                     // Our own earlier life: it is dead, so there is nobody to wait for.
                     acquire(entry.stamp(), listing.ledger());
                 } else {
+                    settled();
                     watch(listing.ledger());
                 }
             }
@@ -181,11 +192,13 @@
         }
         store.grant(leaseMicros).thenAccept(grant -> {
             if (grant.outcome() != Outcome.OK) {
+                settled();
                 loop.after(RETRY_MICROS, this::look);
                 return;
             }
             store.get(TERM_KEY).thenAccept(read -> {
                 if (!read.decided()) {
+                    settled();
                     store.revoke(grant.permit());
                     loop.after(RETRY_MICROS, this::look);
                     return;
@@ -216,6 +229,7 @@
             }
             LOG.info("took the lease: term {}", term);
             listener.took(term, commit.ledger());
+            settled();
             loop.after(leaseMicros / 3, this::renew);
             watch(commit.ledger());
         });
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -125,9 +125,12 @@
                 SettingsReader.parse(toml(node, cpusMax)), OperatorProperties.defaults());
         processes[node] = process;
         controllers[node] = controller;
-        network.listen(host + ":8080", call -> process.awake(() -> inTurn(controller, call)));
         network.listen(host + ":8081", call -> process.awake(() -> controller.internalCall(call)));
-        controller.start();
+        controller.start(() -> {
+            if (!process.killed()) {
+                network.listen(host + ":8080", call -> process.awake(() -> inTurn(controller, call)));
+            }
+        });
     }
 
     private CompletableFuture<Reply> inTurn(Controller controller, Call call) {
