Renewals on connections of their own; batches are decided, and the state is read, in smaller pieces

Cause: in a crowd a round of the loop takes half a second, and a renewal that had to open a connection took three of them; a batch of 64 reports or a page of 500 records is one piece of work of as long. Renewals no longer share connections or the pacing with questions, batches are decided twelve reports at a time, pages have 200 records, and a new holder asks for its four lists at once; plans that are done and older than the demand remembers are not rebuilt.

--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -46,6 +46,7 @@
     private static final String UP = "/up";
     private static final long HELLO_EVERY_MICROS = 1_000_000;
     private static final long HELLO_TIMEOUT_MICROS = 900_000;
+    private static final int MOST_DECIDED_AT_ONCE = 12;
     private static final Reply NOBODY_LEADS = Reply.later(503, "nobody holds the lease", 1);
     private static final long STORE_SILENCE_MICROS = 4_000_000;
     /** The parts of the shared rates that one of several controllers allows itself. */
@@ -76,7 +77,8 @@
     private int unansweredBefore;
     private Tenure tenure;
 
-    public Controller(Loop loop, Caller caller, Settings settings, OperatorProperties operator) {
+    /** @param leaseCaller for what renews the lease, which waits behind nothing else */
+    public Controller(Loop loop, Caller caller, Caller leaseCaller, Settings settings, OperatorProperties operator) {
         this.loop = loop;
         this.caller = caller;
         this.settings = settings;
@@ -87,7 +89,7 @@
         double requests = settings.state().requestsPerSecond() * REQUEST_PART;
         double writes = settings.state().writesPerSecond() * WRITE_PART;
         double calls = settings.cloud().requestsPerSecond() * CLOUD_PART;
-        this.store = new StateStore(caller, loop, settings.stateAddress(), new Pacer(loop, requests, requests),
+        this.store = new StateStore(caller, leaseCaller, loop, settings.stateAddress(), new Pacer(loop, requests, requests),
                 new Pacer(loop, writes, writes));
         this.cloud = new CloudClient(caller, loop, settings.cloudAddress(),
                 new Pacer(loop, calls, Math.max(1, calls)));
@@ -144,7 +146,7 @@
     public CompletableFuture<Reply> internalCall(Call call) {
         switch (call.route()) {
             case PeerMessages.BEATS -> {
-                return answer(beats(call));
+                return beats(call);
             }
             case PeerMessages.HELLO -> {
                 heard(Hello.of(call.body()));
@@ -223,17 +225,29 @@
     }
 
     /** Reports that another controller hands on. */
-    private Reply beats(Call call) {
+    private CompletableFuture<Reply> beats(Call call) {
         Tenure current = tenure;
         if (current == null) {
-            return Reply.later(503, "not the lease holder", 1);
+            return answer(Reply.later(503, "not the lease holder", 1));
         }
-        List<Reply> replies = new ArrayList<>();
-        for (Report report : PeerMessages.reports(call.body())) {
-            handed++;
-            replies.add(current.answer(report));
+        List<Report> reports = PeerMessages.reports(call.body());
+        handed += reports.size();
+        CompletableFuture<Reply> answer = new CompletableFuture<>();
+        decide(current, reports, new ArrayList<>(), answer);
+        return answer;
+    }
+
+    /** A few reports at a time, so that neither the renewal nor the other controllers wait for a whole batch. */
+    private void decide(Tenure current, List<Report> reports, List<Reply> replies, CompletableFuture<Reply> answer) {
+        int upTo = Math.min(reports.size(), replies.size() + MOST_DECIDED_AT_ONCE);
+        while (replies.size() < upTo) {
+            replies.add(current.answer(reports.get(replies.size())));
+        }
+        if (replies.size() == reports.size()) {
+            answer.complete(new Reply(200, PeerMessages.answers(replies), 0));
+        } else {
+            loop.after(1, () -> decide(current, reports, replies, answer));
         }
-        return new Reply(200, PeerMessages.answers(replies), 0);
     }
 
     private static Reply elsewhere(String node) {
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -32,6 +32,7 @@
 public final class Main implements Callable<Integer> {
     private static final int BAD_SETTINGS = 2;
     private static final int CONNECTIONS_PER_ADDRESS = 24;
+    private static final int LEASE_CONNECTIONS = 2;
     /** What a batch of the longest reports may take. */
     private static final int MAX_BATCH_BYTES = 8 * 1024 * 1024;
     private static final int CONNECTIONS_INSIDE = 100;
@@ -131,7 +132,8 @@
                 NioIoHandler.newFactory());
         NettyLoop loop = new NettyLoop(group.next());
         HttpClient client = new HttpClient(group.next(), CONNECTIONS_PER_ADDRESS);
-        Controller controller = new Controller(loop, client, settings, operator);
+        HttpClient leaseClient = new HttpClient(group.next(), LEASE_CONNECTIONS);
+        Controller controller = new Controller(loop, client, leaseClient, settings, operator);
         int connections = (int) (settings.resources().maxSockets() * PUBLIC_PART);
         HttpServer users = new HttpServer(group, HttpServer.MAX_BODY_BYTES, connections, Controller::line,
                 controller.turns(), (int) (connections * WORKERS_PART));
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -20,6 +20,7 @@
 import io.sillreel.placement.CapacityPlanner;
 import io.sillreel.placement.Cluster;
 import io.sillreel.placement.Deadlines;
+import io.sillreel.placement.Demand;
 import io.sillreel.placement.Estimates;
 import io.sillreel.placement.Planner;
 import io.sillreel.settings.OperatorProperties;
@@ -40,6 +41,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -178,22 +180,24 @@
             loop.after(RETRY_MICROS, this::load);
             return;
         }
-        store.list(PLANS).thenAccept(plans -> store.list(RunRecord.PREFIX).thenAccept(runs -> {
-            long asked = loop.nowMicros();
-            store.list(WITHDRAWALS).thenAccept(withdrawals -> store.list(Hire.PREFIX).thenAccept(hires -> {
-                boolean complete = plans.outcome() == Outcome.OK && runs.outcome() == Outcome.OK
-                        && withdrawals.outcome() == Outcome.OK && hires.outcome() == Outcome.OK;
-                if (closed) {
-                    return;
-                }
-                if (!complete) {
-                    loop.after(RETRY_MICROS, this::load);
-                    return;
-                }
-                withdrawProofMicros = asked;
-                build(plans, runs, withdrawals, hires);
-            }));
-        }));
+        // All at once: nobody but this holder writes records and hires any more, and what becomes of plans and withdrawals
+        // is followed from where each list was read.
+        long asked = loop.nowMicros();
+        List<CompletableFuture<Listing>> lists = new ArrayList<>();
+        for (String prefix : List.of(PLANS, RunRecord.PREFIX, WITHDRAWALS, Hire.PREFIX)) {
+            lists.add(store.list(prefix));
+        }
+        CompletableFuture.allOf(lists.toArray(CompletableFuture[]::new)).thenRun(() -> {
+            if (closed) {
+                return;
+            }
+            if (lists.stream().anyMatch(list -> list.join().outcome() != Outcome.OK)) {
+                loop.after(RETRY_MICROS, this::load);
+                return;
+            }
+            withdrawProofMicros = asked;
+            build(lists.get(0).join(), lists.get(1).join(), lists.get(2).join(), lists.get(3).join());
+        });
     }
 
     private void build(Listing plans, Listing runs, Listing withdrawals, Listing hires) {
@@ -216,9 +220,13 @@
             inOrder.sort((a, b) -> Long.compare(a.stamp(), b.stamp()));
             for (Entry plan : inOrder) {
                 String uid = plan.key().substring(PLANS.length());
-                capacity.arrived(JobSpec.ofPlan(plan.value().path("job")), plan.value().path("at_us").asLong());
                 Entry head = heads.get(uid);
-                if (head != null && RunRecord.Head.of(head.value()).isDone()) {
+                boolean done = head != null && RunRecord.Head.of(head.value()).isDone();
+                long admitted = plan.value().path("at_us").asLong();
+                if (!done || Demand.remembers(admitted, loop.wallMicros())) {
+                    capacity.arrived(JobSpec.ofPlan(plan.value().path("job")), admitted);
+                }
+                if (done) {
                     continue;
                 }
                 enter(plan.value(), plan.stamp(), head, chunks.getOrDefault(uid, Map.of()));
--- a/src/main/java/io/sillreel/placement/Demand.java
+++ b/src/main/java/io/sillreel/placement/Demand.java
@@ -15,6 +15,11 @@
     private double sum;
     private long firstMicros = -1;
 
+    /** True if what was admitted then is not yet forgotten. */
+    public static boolean remembers(long admittedWallMicros, long wallMicros) {
+        return admittedWallMicros >= wallMicros - WINDOW_MICROS;
+    }
+
     /** Work that was admitted at the time, in processor-microseconds. */
     public void arrived(long wallMicros, double cpuMicros) {
         arrivals.add(new Arrival(wallMicros, cpuMicros));
@@ -25,7 +30,7 @@
     }
 
     public double cpus(long wallMicros) {
-        while (!arrivals.isEmpty() && arrivals.peek().wallMicros() < wallMicros - WINDOW_MICROS) {
+        while (!arrivals.isEmpty() && !remembers(arrivals.peek().wallMicros(), wallMicros)) {
             sum -= arrivals.poll().cpuMicros();
         }
         if (arrivals.isEmpty()) {
--- a/src/main/java/io/sillreel/statestore/Pacer.java
+++ b/src/main/java/io/sillreel/statestore/Pacer.java
@@ -28,6 +28,12 @@
         return false;
     }
 
+    /** Takes the tokens even if they have to be earned first: for the little that can't wait. */
+    public synchronized void take(double amount) {
+        refill();
+        tokens -= amount;
+    }
+
     public synchronized double available() {
         refill();
         return tokens;
--- a/src/main/java/io/sillreel/statestore/StateStore.java
+++ b/src/main/java/io/sillreel/statestore/StateStore.java
@@ -50,10 +50,12 @@
 
     private static final long TIMEOUT_MICROS = 1_500_000;
     private static final long WATCH_SLACK_MICROS = 2_500_000;
-    private static final int PAGE = 500;
+    /** Reading a page is one piece of work, and a renewal waits for its end. */
+    private static final int PAGE = 200;
     private static final int SILENT_AFTER = 2;
 
     private final Caller caller;
+    private final Caller leaseCaller;
     private final Loop loop;
     private final String address;
     private final Pacer requests;
@@ -61,8 +63,13 @@
     private long lastAnswerMicros = Long.MIN_VALUE;
     private int unanswered;
 
-    public StateStore(Caller caller, Loop loop, String address, Pacer requests, Pacer writes) {
+    /**
+     * @param leaseCaller asks for leases and their renewal, on connections of its own: one that had to be opened first, or
+     *     waited behind users' questions, took longer than the lease in a crowd
+     */
+    public StateStore(Caller caller, Caller leaseCaller, Loop loop, String address, Pacer requests, Pacer writes) {
         this.caller = caller;
+        this.leaseCaller = leaseCaller;
         this.loop = loop;
         this.address = address;
         this.requests = requests;
@@ -133,12 +140,12 @@
 
     public CompletableFuture<Grant> grant(long lifeMicros) {
         ObjectNode body = Json.object().put("life_ms", lifeMicros / 1_000);
-        return send(Call.post("/grants", body), TIMEOUT_MICROS)
+        return sendNow(Call.post("/grants", body))
                 .thenApply(reply -> new Grant(outcome(reply), reply.json().path("permit").asLong()));
     }
 
     public CompletableFuture<Outcome> touch(long permit) {
-        return send(Call.post("/grants/" + permit + "/touch", Json.object()), TIMEOUT_MICROS).thenApply(this::outcome);
+        return sendNow(Call.post("/grants/" + permit + "/touch", Json.object())).thenApply(this::outcome);
     }
 
     public CompletableFuture<Outcome> revoke(long permit) {
@@ -167,6 +174,11 @@
         return caller.call(address, call, timeoutMicros);
     }
 
+    private CompletableFuture<Reply> sendNow(Call call) {
+        requests.take(1);
+        return leaseCaller.call(address, call, TIMEOUT_MICROS);
+    }
+
     private Outcome outcome(Reply reply) {
         synchronized (this) {
             unanswered = reply.status() > 0 ? 0 : unanswered + 1;
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -121,7 +121,8 @@
     private void start(int node, double cpusMax) {
         SimTime.Process process = time.new Process();
         String host = "10.0.0." + node;
-        Controller controller = new Controller(process, network.from(host, process),
+        Caller caller = network.from(host, process);
+        Controller controller = new Controller(process, caller, caller,
                 SettingsReader.parse(toml(node, cpusMax)), OperatorProperties.defaults());
         processes[node] = process;
         controllers[node] = controller;
--- a/src/test/java/io/sillreel/statestore/KeyWriterTest.java
+++ b/src/test/java/io/sillreel/statestore/KeyWriterTest.java
@@ -25,7 +25,7 @@
 
     KeyWriterTest() {
         network.listen("state:1", state);
-        store = new StateStore(network.from("node", process), process, "state:1", new Pacer(process, 1_000, 1_000),
+        store = new StateStore(network.from("node", process), network.from("node", process), process, "state:1", new Pacer(process, 1_000, 1_000),
                 new Pacer(process, 1_000, 1_000));
         store.commit(new Txn().set("leader", Json.object()));
         time.runFor(100_000);
@@ -96,7 +96,7 @@
     /** Guards against ends of jobs that wait behind progress when the store takes less than there is to write. */
     @Test
     void endsGoBeforeStartsAndThoseBeforeProgressWhichGathers() {
-        StateStore slow = new StateStore(network.from("node", process), process, "state:1",
+        StateStore slow = new StateStore(network.from("node", process), network.from("node", process), process, "state:1",
                 new Pacer(process, 1_000, 1_000), new Pacer(process, 2, 6));
         KeyWriter scarce = new KeyWriter(slow, process, "leader", 101, 4, () -> deposed = true);
         Count[] progress = new Count[8];
