--- a/src/test/java/io/sillreel/load/LoadDriver.java
+++ b/src/test/java/io/sillreel/load/LoadDriver.java
@@ -34,7 +34,8 @@
  */
 public final class LoadDriver {
     private static final long SECOND = 1_000_000;
-    private static final int JOB_PIECES = 40;
+    /** Machines to a task of each job: enough for all of them to be busy. */
+    private static final int MACHINES_PER_PIECE = 6;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final NettyLoop loop = new NettyLoop(group.next());
@@ -45,6 +46,7 @@
     private final List<String> internalAddresses = new ArrayList<>();
     private final List<Path> configs = new ArrayList<>();
     private final Process[] processes;
+    private final int workers;
     private final StandIns standIns;
     private final StandIns.Users users;
 
@@ -54,6 +56,7 @@
                 run.addAll(List.of(line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')).split(" ")));
             }
         }
+        this.workers = workers;
         processes = new Process[controllers];
         for (int node = 0; node < controllers; node++) {
             publicAddresses.add("127.0.0.1:" + freePort());
@@ -190,7 +193,7 @@
             System.out.printf("start of hopper-%d up to its first answer: %.0f ms%n", node, used(node));
         }
         idle();
-        loop.execute(() -> users.submitEvery(SECOND / 2, JOB_PIECES));
+        loop.execute(() -> users.submitEvery(SECOND / 2, Math.max(1, workers / MACHINES_PER_PIECE)));
         loop.execute(() -> users.pollEvery(5 * SECOND));
         Thread.sleep(30_000);
         busy("first busy minute", seconds);
