Platform values that are too small to run with are named at the start, with what was read and what is needed

Stories: the public is let in once it is known who leads, a renewal is not held back by the rate, slow controllers keep their term through a crash of all.

--- a/src/main/java/io/sillreel/settings/SettingsReader.java
+++ b/src/main/java/io/sillreel/settings/SettingsReader.java
@@ -23,6 +23,13 @@
 /** Reads and checks the platform's TOML. Fields it does not know are ignored. */
 public final class SettingsReader {
     private static final double MICROS = 1_000_000;
+    /** Below these nothing could be served: a lease is taken by two changes in one transaction and renewed every second. */
+    private static final double LEAST_REQUESTS = 4;
+    private static final double LEAST_WRITES = 2;
+    private static final double LEAST_OPS = 2;
+    /** What a process holds that has only started, measured, and sockets for its listeners, its own calls and a few users. */
+    private static final double LEAST_MEMORY_MB = 48;
+    private static final double LEAST_SOCKETS = 40;
 
     private SettingsReader() {
     }
@@ -88,11 +95,11 @@
                 address(root.hostPort("internal_addr")), List.copyOf(members), endpoints.hostPort("cloud"),
                 endpoints.hostPort("state"), params.texts("zones"), Math.round(params.amount("skew_ms") * 1_000),
                 teams, List.copyOf(objectives), times,
-                new StateLimits(state.positive("rps"), state.positive("write_rps"),
-                        (int) (state.positive("value_kb") * 1024), (int) state.positive("txn_ops")),
+                new StateLimits(state.atLeast("rps", LEAST_REQUESTS), state.atLeast("write_rps", LEAST_WRITES),
+                        (int) (state.atLeast("value_kb", 1) * 1024), (int) state.atLeast("txn_ops", LEAST_OPS)),
                 new CloudLimits(cloud.positive("rps"), cloud.micros("list_lag_s")),
-                new Resources(resources.positive("cores"), resources.positive("memory_mb"),
-                        (int) resources.positive("max_sockets")));
+                new Resources(resources.positive("cores"), resources.atLeast("memory_mb", LEAST_MEMORY_MB),
+                        (int) resources.atLeast("max_sockets", LEAST_SOCKETS)));
     }
 
     private static InetSocketAddress address(String hostPort) {
@@ -176,7 +183,7 @@
         double amount(String field) {
             JsonNode value = required(field);
             if (!value.isNumber() || !Double.isFinite(value.asDouble()) || value.asDouble() < 0) {
-                throw new SettingsException(name(field), "is not a number of at least 0");
+                throw new SettingsException(name(field), "is " + value.asText() + ", and a number of at least 0 is needed");
             }
             return value.asDouble();
         }
@@ -188,7 +195,15 @@
         double positive(String field) {
             double value = amount(field);
             if (value <= 0) {
-                throw new SettingsException(name(field), "must be above 0");
+                throw new SettingsException(name(field), "is " + value + ", and more than 0 is needed");
+            }
+            return value;
+        }
+
+        double atLeast(String field, double least) {
+            double value = amount(field);
+            if (value < least) {
+                throw new SettingsException(name(field), "is " + value + ", and at least " + least + " is needed");
             }
             return value;
         }
--- a/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
+++ b/src/test/java/io/sillreel/ownership/TakeoverStoriesTest.java
@@ -25,6 +25,41 @@
         assertThat(world.broken()).isEmpty();
     }
 
+    /** Guards the vote after a crash of all against the crowd that waits for it; an outage keeps nobody out. */
+    @Test
+    void thePublicIsLetInOnceItIsKnownWhoLeads() {
+        assertThat(world.leader()).isEqualTo(-1);
+        assertThat(world.isOpen(0)).isFalse();
+        world.until(() -> world.isOpen(0) && world.isOpen(1) && world.isOpen(2));
+        assertThat(world.leader()).isNotEqualTo(-1);
+        world.state().outage(true);
+        world.restart(0);
+        world.seconds(1);
+        assertThat(world.isOpen(0)).isTrue();
+    }
+
+    /** Guards a term against everything that is late: controllers that take 30 ms over each message still hold it. */
+    @Test
+    void slowControllersKeepTheirTermThroughACrashOfAll() {
+        for (int node = 0; node < 3; node++) {
+            world.slow(node, 30_000);
+        }
+        world.seconds(3);
+        world.submit(0, World.job("job-000001", 12));
+        world.untilStarted(12, 20_000_000);
+        for (int node = 0; node < 3; node++) {
+            world.restart(node);
+            world.slow(node, 30_000);
+        }
+        world.until(() -> world.leader() >= 0);
+        int before = world.term();
+        world.seconds(40);
+        assertThat(world.term() - before).as("terms that ended without need").isLessThanOrEqualTo(1);
+        world.seconds(60);
+        assertThat(world.stage(1, "job-000001")).isEqualTo("done");
+        assertThat(world.broken()).isEmpty();
+    }
+
     @Test
     void theLeaderDiesBetweenStoringTheReleaseAndLaunching() {
         world.seconds(2);
--- a/src/test/java/io/sillreel/settings/SettingsTest.java
+++ b/src/test/java/io/sillreel/settings/SettingsTest.java
@@ -63,6 +63,20 @@
         assertThatThrownBy(() -> SettingsReader.parse("= =")).hasMessageContaining("not TOML");
     }
 
+    @Test
+    void whatIsTooSmallToRunWithIsNamedWithWhatIsNeeded() {
+        assertThatThrownBy(() -> SettingsReader.parse(GOOD.replace("max_sockets = 900", "max_sockets = 3")))
+                .hasMessage("params.resources.max_sockets: is 3.0, and at least 40.0 is needed");
+        assertThatThrownBy(() -> SettingsReader.parse(GOOD.replace("cores = 0.17", "cores = nan")))
+                .hasMessage("params.resources.cores: is NaN, and a number of at least 0 is needed");
+        assertThatThrownBy(() -> SettingsReader.parse(GOOD.replace("txn_ops = 20", "txn_ops = 1")))
+                .hasMessage("params.state.txn_ops: is 1.0, and at least 2.0 is needed");
+        assertThatThrownBy(() -> SettingsReader.parse(GOOD.replace("memory_mb = 176.0", "memory_mb = 0")))
+                .hasMessageContaining("params.resources.memory_mb: is 0");
+        assertThat(SettingsReader.parse(GOOD.replace("cores = 0.17", "cores = 0.01")).resources().cores())
+                .isEqualTo(0.01);
+    }
+
     @Test
     void operatorsPropertiesKnowTheirKeys() {
         Properties properties = new Properties();
--- a/src/test/java/io/sillreel/sim/SimNetwork.java
+++ b/src/test/java/io/sillreel/sim/SimNetwork.java
@@ -43,6 +43,10 @@
         handlers.put(host, handler);
     }
 
+    public boolean listens(String host) {
+        return handlers.containsKey(host);
+    }
+
     public void silence(String host) {
         handlers.remove(host);
     }
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -168,6 +168,16 @@
         return !processes[node].killed();
     }
 
+    /** True if the controller listens to users and workers. */
+    public boolean isOpen(int node) {
+        return network.listens(publicAddress(node));
+    }
+
+    /** The last term that was taken. */
+    public int term() {
+        return state.value("term").path("term").asInt();
+    }
+
     /** The node that the leader key names, or -1. */
     public int leader() {
         JsonNode leader = state.value("leader");
--- a/src/test/java/io/sillreel/statestore/KeyWriterTest.java
+++ b/src/test/java/io/sillreel/statestore/KeyWriterTest.java
@@ -93,6 +93,20 @@
         assertThat(counts[9].stamp).isEqualTo(104);
     }
 
+    /** Guards against a lease that runs out because too much else was asked. */
+    @Test
+    void aRenewalIsNotHeldBackByTheRate() {
+        StateStore spent = new StateStore(network.from("node", process), network.from("node", process), process, "state:1",
+                new Pacer(process, 1, 1), new Pacer(process, 1, 1));
+        long permit = store.grant(3_000_000).thenApply(grant -> grant.permit()).getNow(0L);
+        spent.get("leader");
+        var refused = spent.get("leader");
+        var renewed = spent.touch(permit);
+        time.runFor(100_000);
+        assertThat(refused.join().outcome()).isEqualTo(StateStore.Outcome.REFUSED);
+        assertThat(renewed.join()).isNotEqualTo(StateStore.Outcome.REFUSED);
+    }
+
     /** Guards against ends of jobs that wait behind progress when the store takes less than there is to write. */
     @Test
     void endsGoBeforeStartsAndThoseBeforeProgressWhichGathers() {
