What waits for its turn is bounded: beyond 4 MB a request is refused

Found on rereading: hundreds of connections with bodies of 64 KB each would have filled the heap while they waited.

--- a/src/main/java/io/sillreel/http/HttpServer.java
+++ b/src/main/java/io/sillreel/http/HttpServer.java
@@ -173,8 +173,8 @@
                 write(ctx, Reply.later(503, "too many connections", 1), false);
             } else if (line == Line.AT_ONCE) {
                 answer(ctx, call, keepAlive);
-            } else {
-                turns.await(line, ctx.channel()::isActive, () -> answer(ctx, call, keepAlive));
+            } else if (!turns.await(line, body.length, ctx.channel()::isActive, () -> answer(ctx, call, keepAlive))) {
+                write(ctx, Reply.later(503, "too much waits already", 1), keepAlive);
             }
         }
 
--- a/src/main/java/io/sillreel/http/Turns.java
+++ b/src/main/java/io/sillreel/http/Turns.java
@@ -21,7 +21,10 @@
     /** Users wait two seconds for an answer to a question, workers four. */
     private static final long BEHIND_MICROS = 1_000_000;
 
-    private record Turn(long sinceMicros, BooleanSupplier wanted, Runnable work) {
+    /** What the waiting requests may hold in all; beyond that they are refused, or hundreds of large ones would fill the heap. */
+    private static final int MOST_BYTES = 4 * 1024 * 1024;
+
+    private record Turn(long sinceMicros, int bytes, BooleanSupplier wanted, Runnable work) {
     }
 
     private final Loop loop;
@@ -30,25 +33,36 @@
     private boolean crowdNext;
     private boolean due;
     private long givenUp;
+    private long bytesWaiting;
 
     public Turns(Loop loop) {
         this.loop = loop;
     }
 
-    /** Does the work when its turn comes, unless nobody wants it any more by then. */
-    public void await(Line line, BooleanSupplier wanted, Runnable work) {
+    /**
+     * Does the work when its turn comes, unless nobody wants it any more by then.
+     *
+     * @param bytes what the request holds until then
+     * @return false if too much waits already: the work is not done
+     */
+    public boolean await(Line line, int bytes, BooleanSupplier wanted, Runnable work) {
         if (line == Line.AT_ONCE) {
             work.run();
-            return;
+            return true;
         }
         synchronized (this) {
-            (line == Line.USERS ? users : crowd).add(new Turn(loop.nowMicros(), wanted, work));
+            if (bytesWaiting + bytes > MOST_BYTES) {
+                return false;
+            }
+            bytesWaiting += bytes;
+            (line == Line.USERS ? users : crowd).add(new Turn(loop.nowMicros(), bytes, wanted, work));
             if (due) {
-                return;
+                return true;
             }
             due = true;
         }
         loop.after(0, this::slice);
+        return true;
     }
 
     private void slice() {
@@ -77,13 +91,10 @@
     private Turn next(Deque<Turn> line) {
         while (!line.isEmpty()) {
             boolean behind = loop.nowMicros() - line.peekFirst().sinceMicros() > BEHIND_MICROS;
-            if (!line.peekFirst().wanted().getAsBoolean()) {
-                line.removeFirst();
-                givenUp++;
-                continue;
-            }
-            Turn turn = behind ? line.pollLast() : line.pollFirst();
-            if (turn.wanted().getAsBoolean()) {
+            boolean gone = !line.peekFirst().wanted().getAsBoolean();
+            Turn turn = behind && !gone ? line.pollLast() : line.pollFirst();
+            bytesWaiting -= turn.bytes();
+            if (!gone && turn.wanted().getAsBoolean()) {
                 return turn;
             }
             givenUp++;
--- a/src/test/java/io/sillreel/http/TurnsTest.java
+++ b/src/test/java/io/sillreel/http/TurnsTest.java
@@ -18,7 +18,7 @@
 
     private void ask(Line line, String who, long givesUpAfterMicros) {
         long until = time.nowMicros() + givesUpAfterMicros;
-        turns.await(line, () -> time.nowMicros() < until, () -> {
+        turns.await(line, 1_000, () -> time.nowMicros() < until, () -> {
             process.works(WORK_MICROS);
             served.add(who);
         });
@@ -75,6 +75,19 @@
         assertThat(served).containsExactly("new", "older than new", "old");
     }
 
+    /** Guards the heap: hundreds of the largest requests at once must not fill it. */
+    @Test
+    void whatIsTooMuchToKeepIsRefused() {
+        int taken = 0;
+        while (taken < 1_000 && turns.await(Line.USERS, 64 * 1024, () -> true, () -> served.add("user"))) {
+            taken++;
+        }
+        assertThat(taken).isBetween(32, 64);
+        time.runFor(100_000);
+        assertThat(served).hasSize(taken);
+        assertThat(turns.await(Line.USERS, 64 * 1024, () -> true, () -> { })).isTrue();
+    }
+
     @Test
     void healthChecksDoNotWait() {
         crowd(100);
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -137,7 +137,7 @@
     private CompletableFuture<Reply> inTurn(Controller controller, Call call) {
         CompletableFuture<Reply> answer = new CompletableFuture<>();
         long givenUpMicros = time.nowMicros() + ASKER_WAITS_MICROS;
-        controller.turns().await(Controller.line(call), () -> time.nowMicros() < givenUpMicros,
+        controller.turns().await(Controller.line(call), call.body().length, () -> time.nowMicros() < givenUpMicros,
                 () -> controller.publicCall(call).thenAccept(answer::complete));
         return answer;
     }
