--- a/src/test/java/io/sillreel/load/StandIns.java
+++ b/src/test/java/io/sillreel/load/StandIns.java
@@ -10,11 +10,11 @@
 import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -33,7 +33,6 @@
     private final TreeMap<String, Worker> workers = new TreeMap<>();
     private final Map<String, ArrayNode> hires = new LinkedHashMap<>();
     private long answered;
-    private long refused;
     private long launched;
     /** When a task of a job that is named so was last launched. */
     private final Map<String, Long> launchedMicros = new LinkedHashMap<>();
@@ -50,10 +49,6 @@
         return answered;
     }
 
-    long refused() {
-        return refused;
-    }
-
     long launched() {
         return launched;
     }
@@ -63,7 +58,7 @@
     }
 
     /** True if a task of one of the jobs has been launched since. */
-    boolean launchedSince(long micros, java.util.Set<String> jobs) {
+    boolean launchedSince(long micros, Set<String> jobs) {
         return launchedMicros.entrySet().stream().anyMatch(entry -> entry.getValue() > micros
                 && jobs.contains(entry.getKey()));
     }
@@ -159,7 +154,6 @@
                 return;
             }
             if (!reply.ok()) {
-                refused++;
                 node = (node + 1) % controllers.size();
                 loop.after(SECOND, this::report);
                 return;
@@ -233,8 +227,7 @@
         }
 
         void pollEvery(long micros) {
-            for (Iterator<String> each = List.copyOf(open).iterator(); each.hasNext();) {
-                String uid = each.next();
+            for (String uid : List.copyOf(open)) {
                 ask(Call.get("/v2/runs/" + uid)).thenAccept(reply -> {
                     if (reply.json().path("stage").asText().equals("done")) {
                         open.remove(uid);
