Troubles that meet: stories for each meeting, and two healthy machines no longer given away

Found by the stories, cause first: - Copies of reports of an earlier term come in crowds as the next one begins, and each counted as an answer that the machine had not heard: three, and a healthy machine was returned with its tasks. Reports closer together than a worker sends them are counted once (seen to fail without). - After a crash in a small fleet the last unheard machine was given away after a report and 1.5 s, while its worker waited for the answer of the controller that had ended. The short wait is for one in a hundred now, as its comment said.

--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -248,8 +248,9 @@
     private void retireUnheard(long now) {
         int unheard = cluster.unheard().size();
         int all = cluster.machines().size();
-        // One or two in a hundred are hardly on a detour, and each of them holds up every earlier job.
-        long patience = unheard <= Math.max(1, all / FEW_UNHEARD_PART)
+        // One or two in a hundred are hardly on a detour, and each of them holds up every earlier job. In a small fleet the
+        // last one mostly is: it waits for the answer of the controller that has ended.
+        long patience = unheard <= all / FEW_UNHEARD_PART
                 ? settings.workers().reportMicros() * 5 / 4 + ROUND_MICROS
                 : Math.max(LEAST_UNHEARD_MICROS, 2 * settings.workers().reportMicros() + 4_000_000);
         if (now - begunMicros < patience || unheard == 0 || unheard > all / MOST_UNHEARD_PART) {
--- a/src/main/java/io/sillreel/fleet/Machine.java
+++ b/src/main/java/io/sillreel/fleet/Machine.java
@@ -26,6 +26,8 @@
     /** A machine that is silent for so long may have lost answers with its reports. */
     private static final long GAP_MICROS = 7_000_000;
     private static final long FORGIVEN_MICROS = 20_000_000;
+    /** A worker lets half a second pass between two reports; less apart are copies, or what was held back on the way. */
+    private static final long CROWDED_MICROS = 300_000;
 
     private final String name;
     private final MachineType type;
@@ -217,6 +219,16 @@
         doubtMicros = nowMicros;
     }
 
+    /**
+     * A report lacks the current token. Copies of reports of an earlier term come in crowds as the next one begins, and say
+     * nothing of what the machine hears.
+     */
+    public void unaware(long nowMicros) {
+        if (unheeded == 0 || nowMicros - doubtMicros > CROWDED_MICROS) {
+            unheeded(nowMicros);
+        }
+    }
+
     /** It is answered 200, which keeps its tasks alive if it hears that. */
     public void answered(long boundMicros) {
         answered++;
--- a/src/main/java/io/sillreel/workers/ReportDesk.java
+++ b/src/main/java/io/sillreel/workers/ReportDesk.java
@@ -163,7 +163,7 @@
         if (deaf(machine)) {
             return giveUp(machine);
         }
-        machine.unheeded(now);
+        machine.unaware(now);
         machine.answered(aliveUntil(now));
         return nothing;
     }
--- a/src/test/java/io/sillreel/sim/SimCloud.java
+++ b/src/test/java/io/sillreel/sim/SimCloud.java
@@ -20,6 +20,7 @@
     private final Map<String, ArrayNode> answers = new LinkedHashMap<>();
     private int created;
     private boolean outage;
+    private long bootMicros = 4_000_000;
     private static final int CAPACITY = 20;
 
     SimCloud(World world) {
@@ -30,6 +31,11 @@
         outage = down;
     }
 
+    /** How long machines rented from now on take to come up. */
+    public void bootMicros(long micros) {
+        bootMicros = micros;
+    }
+
     public TreeMap<String, SimWorker> machines() {
         return machines;
     }
@@ -91,7 +97,7 @@
     private String boot(String build, String yard) {
         String name = "host-%06d".formatted(created++);
         booting.put(name, build);
-        world.time().after(4_000_000, () -> {
+        world.time().after(bootMicros, () -> {
             if (booting.remove(name) != null) {
                 machines.put(name, new SimWorker(world, name, build, yard, created % world.nodes()));
             }
--- a/src/test/java/io/sillreel/sim/SimNetwork.java
+++ b/src/test/java/io/sillreel/sim/SimNetwork.java
@@ -5,7 +5,9 @@
 import io.sillreel.http.Handler;
 import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,18 +23,25 @@
     }
 
     /**
-     * LOSE: never arrives. LOSE_ANSWER: is carried out, the answer never arrives. HOLD: arrives when released. COPY:
-     * arrives, and a copy of it once more, seconds to most of a minute later.
+     * LOSE: never arrives. LOSE_ANSWER: is carried out, the answer never arrives. LATE: the same, but carried out 2 to 12 s
+     * later, after newer ones. HOLD: arrives when released. COPY: arrives, and a copy of it once more, seconds to most of
+     * a minute later. KEEP: arrives, and a copy is kept until the kept ones are let go. REFUSE: answered 503 at once and
+     * not carried out; a watch is left open.
      */
-    public enum Fate { DELIVER, LOSE, LOSE_ANSWER, HOLD, COPY }
+    public enum Fate { DELIVER, LOSE, LOSE_ANSWER, LATE, HOLD, COPY, KEEP, REFUSE }
 
     private static final int LATEST_COPY_MICROS = 40_000_000;
+    private static final int LATEST_CARRIED_OUT_MICROS = 12_000_000;
+    private static final int MOST_KEPT = 2_000;
+    private static final int WAVES = 5;
 
     private final SimTime time;
     private final Random random;
     private final Map<String, Handler> handlers = new HashMap<>();
     private final List<Rule> rules = new ArrayList<>();
     private final List<Runnable> held = new ArrayList<>();
+    private final Deque<Call> kept = new ArrayDeque<>();
+    private long slowness = 1;
 
     public SimNetwork(SimTime time, long seed) {
         this.time = time;
@@ -67,6 +76,25 @@
         late.forEach(delivery -> time.after(delay(), delivery));
     }
 
+    /** Links take so many times as long. */
+    public void slowness(long times) {
+        slowness = times;
+    }
+
+    /** Delivers the kept copies to each of the hosts, in their old order, in some waves within a second; then forgets them. */
+    public void letKeptGo(List<String> hosts) {
+        SimTime.Process nobody = time.new Process();
+        for (long wave = 0; wave < WAVES; wave++) {
+            long at = wave * 250_000;
+            for (Call call : kept) {
+                for (String host : hosts) {
+                    time.after(at++, () -> deliver(host, call, new CompletableFuture<>(), nobody));
+                }
+            }
+        }
+        kept.clear();
+    }
+
     public Caller from(String host, SimTime.Process process) {
         return (to, call, timeoutMicros) -> {
             CompletableFuture<Reply> answer = new CompletableFuture<>();
@@ -80,14 +108,27 @@
                     break;
                 }
             }
-            boolean answered = fate == Fate.DELIVER || fate == Fate.COPY;
+            boolean answered = fate == Fate.DELIVER || fate == Fate.COPY || fate == Fate.KEEP;
+            if (fate == Fate.REFUSE) {
+                if (!call.route().equals("/watch")) {
+                    process.after(delay(), () -> answer.complete(Reply.refusal(503, "trouble")));
+                }
+                return answer;
+            }
             if (fate == Fate.COPY) {
                 time.after(1_000_000 + random.nextInt(LATEST_COPY_MICROS),
                         () -> deliver(to, call, new CompletableFuture<>(), process));
+            } else if (fate == Fate.KEEP) {
+                kept.add(call);
+                if (kept.size() > MOST_KEPT) {
+                    kept.poll();
+                }
             }
             Runnable delivery = () -> deliver(to, call, answered ? answer : new CompletableFuture<>(), process);
             if (fate == Fate.HOLD) {
                 held.add(delivery);
+            } else if (fate == Fate.LATE) {
+                time.after(2_000_000 + random.nextInt(LATEST_CARRIED_OUT_MICROS - 2_000_000), delivery);
             } else if (fate != Fate.LOSE) {
                 time.after(delay(), delivery);
             }
@@ -104,6 +145,6 @@
     }
 
     private long delay() {
-        return 500 + random.nextInt(3_000);
+        return slowness * (500 + random.nextInt(3_000));
     }
 }
--- a/src/test/java/io/sillreel/sim/SimState.java
+++ b/src/test/java/io/sillreel/sim/SimState.java
@@ -38,6 +38,7 @@
     private long permits;
     private long forgotten;
     private boolean outage;
+    private Runnable onLeader = () -> { };
 
     public SimState(SimTime time, int txnOps, int valueBytes) {
         this.time = time;
@@ -45,6 +46,11 @@
         this.valueBytes = valueBytes;
     }
 
+    /** Done whenever the leader key is written. */
+    void onLeader(Runnable then) {
+        onLeader = then;
+    }
+
     /** Begins or ends an outage; after it all leases have their full time again. */
     public void outage(boolean down) {
         outage = down;
@@ -152,6 +158,9 @@
                     String key = change.path("set").asText();
                     keys.put(key, new Value(change.path("v"), ledger, change.path("permit").asLong()));
                     changes.add(new Change(key, change.path("v"), ledger));
+                    if (key.equals("leader")) {
+                        onLeader.run();
+                    }
                 }
             }
             wake();
--- a/src/test/java/io/sillreel/sim/World.java
+++ b/src/test/java/io/sillreel/sim/World.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -42,7 +43,11 @@
     private final Set<String> mistaken = new HashSet<>();
     private final Map<String, Integer> pieces = new HashMap<>();
     private final Map<String, String> told = new HashMap<>();
+    private final Map<String, Long> toldMicros = new HashMap<>();
     private final Map<String, Long> withdrawnAt = new HashMap<>();
+    private final Set<String> withdrawAsked = new HashSet<>();
+    private final Set<String> oneZone = new HashSet<>();
+    private final List<String> startsOfWithdrawn = new ArrayList<>();
     private final List<String> broken = new ArrayList<>();
     private int starts;
 
@@ -66,6 +71,7 @@
         network.listen("state:1", state);
         network.listen("cloud:1", cloud);
         users = network.from("users", time.new Process());
+        state.onLeader(() -> network.letKeptGo(publicAddresses()));
         for (int node = 0; node < nodes; node++) {
             start(node, cpusMax);
         }
@@ -208,6 +214,14 @@
         return nodes;
     }
 
+    private List<String> publicAddresses() {
+        List<String> addresses = new ArrayList<>();
+        for (int node = 0; node < nodes; node++) {
+            addresses.add(publicAddress(node));
+        }
+        return addresses;
+    }
+
     String publicAddress(int node) {
         return "10.0.0." + node + ":8080";
     }
@@ -252,46 +266,105 @@
     }
 
     public Reply submit(int node, ObjectNode job) {
-        Reply reply = ask(node, Call.post("/v2/runs", job));
+        long asked = time.nowMicros();
+        return submitted(job, ask(node, submission(job)), asked);
+    }
+
+    private Call submission(ObjectNode job) {
+        String uid = job.path("uid").asText();
+        if (pieces.putIfAbsent(uid, job.path("pieces").asInt()) == null && job.path("one_zone").asBoolean()) {
+            oneZone.add(uid);
+        }
+        return Call.post("/v2/runs", job);
+    }
+
+    private Reply submitted(ObjectNode job, Reply reply, long asked) {
         String uid = job.path("uid").asText();
-        pieces.putIfAbsent(uid, job.path("pieces").asInt());
         if (reply.status() == 201 || reply.status() == 200) {
-            note(uid, reply.json().path("stage").asText());
-        } else if (told.containsKey(uid) && (reply.status() == 400 || reply.status() == 422)) {
+            note(uid, reply.json().path("stage").asText(), asked);
+        } else if (known(uid, asked) && (reply.status() == 400 || reply.status() == 422)) {
             broken.add("forgotten " + uid);
         }
         return reply;
     }
 
     public Reply poll(int node, String uid) {
-        Reply reply = ask(node, Call.get("/v2/runs/" + uid));
+        long asked = time.nowMicros();
+        return polled(uid, ask(node, Call.get("/v2/runs/" + uid)), asked);
+    }
+
+    private Reply polled(String uid, Reply reply, long asked) {
         if (reply.ok()) {
-            note(uid, reply.json().path("stage").asText());
-        } else if (reply.status() == 404 && told.containsKey(uid)) {
+            note(uid, reply.json().path("stage").asText(), asked);
+        } else if (reply.status() == 404 && known(uid, asked)) {
             broken.add("forgotten " + uid);
         }
         return reply;
     }
 
     public Reply withdraw(int node, String uid) {
-        Reply reply = ask(node, Call.post("/v2/runs/" + uid + "/withdraw", Json.object()));
+        long asked = time.nowMicros();
+        return withdrawn(uid, ask(node, withdrawal(uid)), asked);
+    }
+
+    private Call withdrawal(String uid) {
+        withdrawAsked.add(uid);
+        return Call.post("/v2/runs/" + uid + "/withdraw", Json.object());
+    }
+
+    private Reply withdrawn(String uid, Reply reply, long asked) {
         if (reply.ok()) {
-            note(uid, reply.json().path("stage").asText());
+            note(uid, reply.json().path("stage").asText(), asked);
         }
         return reply;
     }
 
+    /** Asks without waiting for the answer, which is noted when it comes. */
+    public void submitMeanwhile(int node, ObjectNode job) {
+        askMeanwhile(node, submission(job), (reply, asked) -> submitted(job, reply, asked));
+    }
+
+    public void pollMeanwhile(int node, String uid) {
+        askMeanwhile(node, Call.get("/v2/runs/" + uid), (reply, asked) -> polled(uid, reply, asked));
+    }
+
+    public void withdrawMeanwhile(int node, String uid) {
+        askMeanwhile(node, withdrawal(uid), (reply, asked) -> withdrawn(uid, reply, asked));
+    }
+
+    private void askMeanwhile(int node, Call call, BiConsumer<Reply, Long> then) {
+        long asked = time.nowMicros();
+        users.call(publicAddress(node), call, 2 * SECOND).thenAccept(reply -> then.accept(reply, asked));
+    }
+
+    private boolean known(String uid, long asked) {
+        return told.containsKey(uid) && toldMicros.get(uid) <= asked;
+    }
+
     public String stage(int node, String uid) {
         return poll(node, uid).json().path("stage").asText();
     }
 
-    private void note(String uid, String stage) {
-        String before = told.put(uid, stage);
-        if (before != null && (before.equals("done") || before.equals("withdrawn")) && !before.equals(stage)) {
-            broken.add("went_back " + uid + " from " + before + " to " + stage);
+    /** What a user was told, and since when; a question that was under way by then may still be answered as it was. */
+    private void note(String uid, String stage, long asked) {
+        String before = told.get(uid);
+        boolean over = before != null && (before.equals("done") || before.equals("withdrawn"));
+        if (over && !before.equals(stage)) {
+            boolean contradicts = stage.equals("done") || stage.equals("withdrawn");
+            if (contradicts || toldMicros.get(uid) <= asked) {
+                broken.add("went_back " + uid + " from " + before + " to " + stage);
+            }
+            return;
+        }
+        told.put(uid, stage);
+        if (before == null || !over && (stage.equals("done") || stage.equals("withdrawn"))) {
+            toldMicros.put(uid, time.nowMicros());
         }
         if (stage.equals("withdrawn")) {
             withdrawnAt.putIfAbsent(uid, time.nowMicros());
+            if (!withdrawAsked.contains(uid)) {
+                broken.add("went_back " + uid + " is called withdrawn, and nobody asked for that");
+            }
         }
         if (stage.equals("done")) {
             for (int piece = 0; piece < pieces.getOrDefault(uid, 0); piece++) {
@@ -302,6 +375,11 @@
         }
     }
 
+    /** What users were last told of the job, or null. */
+    public String told(String uid) {
+        return told.get(uid);
+    }
+
     // --- Rules -----------------------------------------------------------------------------------------------------
 
     /** Jobs whose tasks fail on every machine. */
@@ -363,6 +441,21 @@
         if (most > 0 && running > most) {
             broken.add("quota at " + piece);
         }
+        String uid = piece.substring(0, piece.indexOf('/'));
+        Long withdrawn = withdrawnAt.get(uid);
+        if (withdrawn != null) {
+            startsOfWithdrawn.add(piece + " after " + (time.nowMicros() - withdrawn) / 1_000 + " ms");
+        }
+        boolean apart = oneZone.contains(uid) && cloud.machines().values().stream().anyMatch(other ->
+                !other.yard().equals(worker.yard()) && other.running().stream().anyMatch(task -> task.startsWith(uid + "/")));
+        if (apart) {
+            broken.add("wrong_place " + piece + " in " + worker.yard());
+        }
+    }
+
+    /** Tasks that began after a user had been told that their job is cancelled, and how long after. */
+    public List<String> startsOfWithdrawn() {
+        return startsOfWithdrawn;
     }
 
     private void watch() {
