The controller that stores a withdrawal tells the lease holder directly

The holder follows the stored withdrawals; refused by the state service alone, it knew nothing of those that others confirmed and kept their tasks until the holdover and the leases had run out. They are within cancel_s either way, and the story of the gap plays without the word; with it the tasks end at once, and none starts in the seconds for which an older proof still holds.

--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -46,6 +46,7 @@
     private static final String UP = "/up";
     private static final long HELLO_EVERY_MICROS = 1_000_000;
     private static final long HELLO_TIMEOUT_MICROS = 900_000;
+    private static final long WITHDRAWN_TIMEOUT_MICROS = 2_000_000;
     private static final int MOST_DECIDED_AT_ONCE = 12;
     private static final Reply NOBODY_LEADS = Reply.later(503, "nobody holds the lease", 1);
     private static final long STORE_SILENCE_MICROS = 4_000_000;
@@ -95,7 +96,7 @@
                 new Pacer(loop, calls, Math.max(1, calls)));
         this.leadership = new Leadership(store, loop, settings.nodeName(), operator.stateLeaseMicros(), this);
         this.flavors = new FlavorBook(store, cloud, loop, () -> leadership.heldTerm() > 0);
-        this.users = new AdaptiveLimit(new Admission(store, loop, settings, flavors::types, this),
+        this.users = new AdaptiveLimit(new Admission(store, loop, settings, flavors::types, this, this::tellWithdrawn),
                 operator.maxRequests(), loop::nowMicros);
         this.peers = new Peers(loop);
         this.spread = new WorkerSpread(loop, peers, settings.nodeName(), settings.workers().reportMicros());
@@ -152,6 +153,12 @@
                 heard(Hello.of(call.body()));
                 return answer(new Reply(200, ownHello().bytes(), 0));
             }
+            case PeerMessages.WITHDRAWN -> {
+                if (tenure != null) {
+                    PeerMessages.withdrawn(call.body()).forEach(tenure::withdrawn);
+                }
+                return answer(Reply.of(200, Json.object()));
+            }
             case "/metrics" -> {
                 return answer(Reply.of(200, metrics()));
             }
@@ -224,6 +231,16 @@
         return node == null ? Optional.empty() : settings.member(node);
     }
 
+    /** The lease holder follows the stored withdrawals, but the state service may refuse it alone. */
+    private void tellWithdrawn(String uid) {
+        if (tenure != null) {
+            tenure.withdrawn(uid);
+        } else {
+            leader().ifPresent(holder ->
+                    caller.call(holder.address(), PeerMessages.withdrawn(uid), WITHDRAWN_TIMEOUT_MICROS));
+        }
+    }
+
     /** Reports that another controller hands on. */
     private CompletableFuture<Reply> beats(Call call) {
         Tenure current = tenure;
--- a/src/main/java/io/sillreel/admission/Admission.java
+++ b/src/main/java/io/sillreel/admission/Admission.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,15 +37,18 @@
     private final Settings settings;
     private final Supplier<Map<String, MachineType>> types;
     private final LiveCounts live;
+    private final Consumer<String> onWithdrawn;
     private final JobViews views;
 
+    /** @param onWithdrawn told of each withdrawal that is stored here, before its user is */
     public Admission(StateStore store, Loop loop, Settings settings, Supplier<Map<String, MachineType>> types,
-            LiveCounts live) {
+            LiveCounts live, Consumer<String> onWithdrawn) {
         this.store = store;
         this.loop = loop;
         this.settings = settings;
         this.types = types;
         this.live = live;
+        this.onWithdrawn = onWithdrawn;
         this.views = new JobViews(store, loop, settings.state().txnOps());
     }
 
@@ -165,6 +169,7 @@
                             view.head(), commit.ledger());
                     views.remember(withdrawn);
                     LOG.info("withdrawn {}", uid);
+                    onWithdrawn.accept(uid);
                     return done(Reply.of(200, answer(withdrawn)));
                 }
                 if (commit.outcome() == Outcome.REFUSED) {
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -274,14 +274,19 @@
     }
 
     private void watchWithdrawals(long since) {
-        follow(WITHDRAWALS, since, WITHDRAW_WATCH_MICROS, change -> {
-            String uid = change.key().substring(WITHDRAWALS.length());
+        follow(WITHDRAWALS, since, WITHDRAW_WATCH_MICROS,
+                change -> withdrawn(change.key().substring(WITHDRAWALS.length())), sent -> withdrawProofMicros = Math.max(withdrawProofMicros, sent));
+    }
+
+    /** A withdrawal has been stored: seen there, or heard of from the controller that stored it. */
+    public void withdrawn(String uid) {
+        synchronized (cluster) {
             withdrawnUids.add(uid);
             ActiveJob job = cluster.job(uid);
             if (job != null) {
                 foundWithdrawn(job);
             }
-        }, sent -> withdrawProofMicros = Math.max(withdrawProofMicros, sent));
+        }
     }
 
     /** Follows the changes under a prefix for as long as the term lasts. */
--- a/src/main/java/io/sillreel/peer/PeerMessages.java
+++ b/src/main/java/io/sillreel/peer/PeerMessages.java
@@ -19,6 +19,7 @@
 public final class PeerMessages {
     public static final String BEATS = "/peer/beats";
     public static final String HELLO = "/peer/hello";
+    public static final String WITHDRAWN = "/peer/withdrawn";
     private static final CBORFactory STREAM = new CBORFactory();
     private static final Report.Stage[] STAGES = Report.Stage.values();
 
@@ -65,6 +66,33 @@
     private PeerMessages() {
     }
 
+    /** A job whose withdrawal has been stored. */
+    public static Call withdrawn(String uid) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(32);
+        try (CBORGenerator out = STREAM.createGenerator(bytes)) {
+            out.writeStartArray(null, 1);
+            out.writeString(uid);
+            out.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new Call("POST", WITHDRAWN, bytes.toByteArray());
+    }
+
+    /** @throws UncheckedIOException if that is not what {@link #withdrawn} wrote */
+    public static List<String> withdrawn(byte[] body) {
+        List<String> uids = new ArrayList<>();
+        try (CBORParser in = STREAM.createParser(body)) {
+            in.nextToken();
+            for (String uid = in.nextTextValue(); uid != null; uid = in.nextTextValue()) {
+                uids.add(uid);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return uids;
+    }
+
     /** Workers' reports, handed on together. */
     public static Call beats(List<Report> reports) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(512 * reports.size());
--- a/src/test/java/io/sillreel/MeetingsTest.java
+++ b/src/test/java/io/sillreel/MeetingsTest.java
@@ -82,6 +82,8 @@
             world.untilStarted(12, FOR_LONG);
             int holder = world.leader();
             Rule refused = world.network().add(Troubles.refused(holder));
+            // It must hold without the word of the controller that confirms, which may get lost as well.
+            world.network().add((from, to, call) -> call.route().equals("/peer/withdrawn") ? Fate.LOSE : null);
             world.seconds(0.05);
             world.withdrawMeanwhile(other(world, holder), "job-000001");
             world.seconds(0.05);
@@ -101,6 +103,23 @@
         }
     }
 
+    /** Guards tasks against their leases when their holder, refused alone, can still be told by the one that confirmed. */
+    @Test
+    void aHolderThatIsRefusedAloneIsToldOfWithdrawals() {
+        World world = begun(16);
+        world.submit(0, World.job("job-000001", 12));
+        world.untilStarted(12, FOR_LONG);
+        int holder = world.leader();
+        world.network().add(Troubles.refused(holder));
+        world.seconds(0.2);
+        world.withdraw(other(world, holder), "job-000001");
+        world.state().outage(true);
+        world.seconds(2);
+        assertThat(running(world)).isZero();
+        assertThat(world.startsOfWithdrawn()).isEmpty();
+        nothingBroken(world);
+    }
+
     /** Guards the proof of a holder that is answered again after an outage, and has not heard what was cancelled before it. */
     @Test
     void aHolderThatIsAnsweredAgainLaunchesNothingOfWhatWasCancelledMeanwhile() {
