--- a/src/test/java/io/sillreel/MeetingsTest.java
+++ b/src/test/java/io/sillreel/MeetingsTest.java
@@ -120,6 +120,22 @@
         nothingBroken(world);
     }
 
+    /** Guards launches against a watch that is not answered: what was not asked for lately may have been withdrawn. */
+    @Test
+    void aHolderThatCanNotFollowWithdrawalsLaunchesNothingAndLetsItsTasksGo() {
+        World world = begun(17);
+        world.submit(0, World.job("job-000001", 300));
+        world.untilStarted(20, 5 * SECOND);
+        world.network().add((from, to, call) -> call.route().equals("/peer/withdrawn")
+                || call.path().startsWith("/watch?prefix=withdraw/") ? Fate.LOSE : null);
+        world.withdraw(0, "job-000001");
+        world.seconds(5.5);
+        int starts = world.starts();
+        world.seconds(40);
+        assertThat(world.starts()).isEqualTo(starts);
+        nothingBroken(world);
+    }
+
     /** Guards the proof of a holder that is answered again after an outage, and has not heard what was cancelled before it. */
     @Test
     void aHolderThatIsAnsweredAgainLaunchesNothingOfWhatWasCancelledMeanwhile() {
