--- a/src/test/java/io/sillreel/MeetingsTest.java
+++ b/src/test/java/io/sillreel/MeetingsTest.java
@@ -128,7 +128,7 @@
         world.untilStarted(20, 5 * SECOND);
         world.network().add((from, to, call) -> call.route().equals("/peer/withdrawn")
                 || call.path().startsWith("/watch?prefix=withdraw/") ? Fate.LOSE : null);
-        world.withdraw(0, "job-000001");
+        world.withdraw(other(world, world.leader()), "job-000001");
         world.seconds(5.5);
         int starts = world.starts();
         world.seconds(40);
