--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -68,6 +68,7 @@
     private final Set<Hire> wentDown = new LinkedHashSet<>();
     private final List<Long> lostMicros = new ArrayList<>();
     private final long begunMicros;
+    private long manySilentMicros = Long.MIN_VALUE / 2;
     private long names;
     private long listedMicros = Long.MIN_VALUE / 2;
     private boolean listing;
@@ -232,6 +233,10 @@
         // cut zone would be given away two machines at a time.
         lostMicros.removeIf(at -> now - at > settings.workers().leaseMicros());
         if (heard == 0 || overdue + lostMicros.size() > Math.max(2, cluster.machines().size() / MOST_LOST_PART)) {
+            manySilentMicros = now;
+        }
+        // When those that were cut off together come back, the last of them is on its way like the others.
+        if (now - manySilentMicros < DETOUR_MICROS + settings.workers().reportMicros()) {
             return;
         }
         for (Machine machine : lost) {
