--- a/src/main/java/io/sillreel/admission/Admission.java
+++ b/src/main/java/io/sillreel/admission/Admission.java
@@ -14,6 +14,7 @@
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.StateStore.Outcome;
 import io.sillreel.statestore.StateStore.Txn;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -109,29 +110,78 @@
         if (views.remembered(uid).accepted()) {
             return unlessKnown(uid, cannotRead());
         }
-        return admit(spec);
+        return admit(spec, MOST_TRIES);
     }
 
-    private CompletableFuture<Reply> admit(JobSpec spec) {
+    private CompletableFuture<Reply> admit(JobSpec spec, int tries) {
         if (store.silent()) {
             return done(cannotRead());
         }
+        if (spec.awaits().isEmpty()) {
+            return store(spec, List.of(), tries);
+        }
+        // Once accepted a job stays so, and that may be remembered; that it never was, only the store can say.
+        return views.fresh(spec.awaits()).thenCompose(awaited -> {
+            if (awaited.contains(null)) {
+                return done(cannotRead());
+            }
+            for (JobView each : awaited) {
+                if (!each.accepted()) {
+                    return unlessKnown(spec.uid(), Reply.refusal(422, "awaits: " + each.uid() + " was never accepted"));
+                }
+            }
+            return store(spec, awaited, tries);
+        });
+    }
+
+    /** Stores the plan; that of a job which awaits a withdrawn one together with its own withdrawal. */
+    private CompletableFuture<Reply> store(JobSpec spec, List<JobView> awaited, int tries) {
         String uid = spec.uid();
         String key = "plan/" + uid;
-        ObjectNode plan = Json.object().put("at_us", loop.wallMicros());
+        long now = loop.wallMicros();
+        ObjectNode plan = Json.object().put("at_us", now);
         plan.set("job", spec.json());
-        return store.commit(new Txn().require(key, 0).set(key, plan)).thenCompose(commit -> {
-            if (commit.outcome() == Outcome.OK) {
-                views.remember(new JobView(uid, commit.ledger(), spec.pieces(), 0, null, 0));
-                LOG.info("admitted {}: {} x {} cpus, {} of {}, rank {}", uid, spec.pieces(), spec.cpus(), spec.lot(),
-                        spec.crew(), spec.rank().wire());
-                return done(Reply.of(201, Json.object().put("uid", uid).put("stage", "queued")));
-            }
-            if (commit.outcome() == Outcome.REFUSED) {
-                return done(Reply.later(503, "the state service does not take the job now", RETRY_SECONDS));
+        if (Json.bytes(plan).length > settings.state().valueBytes()) {
+            return unlessKnown(uid, Reply.refusal(422, "the job's description is too large to be stored"));
+        }
+        Txn txn = new Txn().require(key, 0).set(key, plan);
+        Optional<JobView> withdrawn = awaited.stream().filter(JobView::withdrawn).findFirst();
+        if (withdrawn.isPresent()) {
+            txn.require("withdraw/" + uid, 0).set("withdraw/" + uid,
+                    Json.object().put("at_us", now).put("by", withdrawn.get().uid()));
+        } else {
+            // As far as there is room: what is withdrawn in this very moment closes the job all the same.
+            awaited.stream().filter(each -> !each.done()).limit(4L * settings.state().txnOps() - 1)
+                    .forEach(each -> txn.require("withdraw/" + each.uid(), 0));
+        }
+        return store.commit(txn).thenCompose(commit -> {
+            switch (commit.outcome()) {
+                case OK -> {
+                    JobView view = JobViews.planned(uid, commit.ledger(), spec);
+                    view = withdrawn.isPresent() ? view.closedBy() : view;
+                    views.remember(view);
+                    LOG.info("admitted {}: {} x {} cpus, {} of {}, rank {}{}", uid, spec.pieces(), spec.cpus(),
+                            spec.lot(), spec.crew(), spec.rank().wire(),
+                            awaited.isEmpty() ? "" : ", after " + String.join(", ", spec.awaits()));
+                    String stage = view.withdrawn() ? "withdrawn" : "queued";
+                    return done(Reply.of(201, Json.object().put("uid", uid).put("stage", stage)));
+                }
+                case REFUSED -> {
+                    return done(Reply.later(503, "the state service does not take the job now", RETRY_SECONDS));
+                }
+                case TOO_LARGE -> {
+                    return unlessKnown(uid, Reply.refusal(422, "the job's description is too large to be stored"));
+                }
+                default -> {
+                    boolean moved = commit.outcome() == Outcome.CONFLICT && !commit.failed().contains(key);
+                    if (moved && tries > 1) {
+                        // One of those that it awaits has been withdrawn since.
+                        return admit(spec, tries - 1);
+                    }
+                    // Known already, or the answer got lost: only the store can say which.
+                    return unlessKnown(uid, Reply.later(503, "the job could not be stored for certain", RETRY_SECONDS));
+                }
             }
-            // Known already, or the answer got lost: only the store can say which.
-            return unlessKnown(uid, Reply.later(503, "the job could not be stored for certain", RETRY_SECONDS));
         });
     }
 
@@ -165,8 +215,8 @@
                     .set(key, Json.object().put("at_us", loop.wallMicros()));
             return store.commit(txn).thenCompose(commit -> {
                 if (commit.outcome() == Outcome.OK) {
-                    JobView withdrawn = new JobView(uid, view.planStamp(), view.pieces(), view.runStamp(),
-                            view.head(), commit.ledger());
+                    JobView withdrawn = new JobView(uid, view.planStamp(), view.pieces(), view.awaits(), view.runStamp(),
+                            view.head(), commit.ledger(), false);
                     views.remember(withdrawn);
                     LOG.info("withdrawn {}", uid);
                     onWithdrawn.accept(uid);
--- a/src/main/java/io/sillreel/admission/JobReader.java
+++ b/src/main/java/io/sillreel/admission/JobReader.java
@@ -7,6 +7,7 @@
 import io.sillreel.settings.Settings.Team;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -53,7 +54,21 @@
                 amount(body, "cards"), amount(body, "ram_gb"), text(body, "reel"), amount(body, "image_gb"),
                 texts(body, "builds"), optionalText(body, "yard"), flag(body, "one_zone"), flag(body, "spread"),
                 flag(body, "loaners"), micros(body, "guess_s"), micros(body, "mark_every_s"), micros(body, "stash_s"),
-                body.hasNonNull("due_s") ? micros(body, "due_s") : -1);
+                body.hasNonNull("due_s") ? micros(body, "due_s") : -1, awaits(body));
+    }
+
+    /** The jobs to be done first; a name that stands twice counts once. */
+    private static List<String> awaits(JsonNode body) throws Malformed {
+        List<String> names = texts(body, "awaits");
+        if (names == null) {
+            return List.of();
+        }
+        for (String name : names) {
+            if (!isUid(name)) {
+                throw new Malformed("awaits: is not a list of job ids");
+            }
+        }
+        return List.copyOf(new LinkedHashSet<>(names));
     }
 
     /** Why the job can never run, if so. */
--- a/src/main/java/io/sillreel/admission/JobView.java
+++ b/src/main/java/io/sillreel/admission/JobView.java
@@ -3,11 +3,18 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sillreel.http.Json;
 import io.sillreel.pipeline.RunRecord;
+import java.util.List;
 
-/** What this controller last read of a job; stamps are 0 for keys that did not exist then. */
-record JobView(String uid, long planStamp, int pieces, long runStamp, RunRecord.Head head, long withdrawStamp) {
+/**
+ * What this controller last read of a job; stamps are 0 for keys that did not exist then.
+ *
+ * @param awaits the jobs that have to be done before this one
+ * @param closed something that it awaits, directly or through others, is withdrawn
+ */
+record JobView(String uid, long planStamp, int pieces, List<String> awaits, long runStamp, RunRecord.Head head,
+        long withdrawStamp, boolean closed) {
     static JobView unknown(String uid) {
-        return new JobView(uid, 0, 0, 0, null, 0);
+        return new JobView(uid, 0, 0, List.of(), 0, null, 0, false);
     }
 
     boolean accepted() {
@@ -18,8 +25,9 @@
         return head != null && head.isDone();
     }
 
+    /** Withdrawn by itself, or with what it needs: whatever follows a withdrawn job is never released. */
     boolean withdrawn() {
-        return withdrawStamp > 0;
+        return withdrawStamp > 0 || closed;
     }
 
     /** A stored terminal state never changes, so it may be told without asking the store again. */
@@ -27,6 +35,23 @@
         return done() || withdrawn();
     }
 
+    /** True if its state depends on that of other jobs: once it has been released, all of them are done. */
+    boolean awaitsOthers() {
+        return !awaits.isEmpty() && runStamp == 0 && !withdrawn();
+    }
+
+    JobView closedBy() {
+        return new JobView(uid, planStamp, pieces, awaits, runStamp, head, withdrawStamp, true);
+    }
+
+    /** What both know together; neither can be newer than the other in everything. */
+    JobView with(JobView old) {
+        boolean runOlder = runStamp < old.runStamp();
+        return new JobView(uid, Math.max(planStamp, old.planStamp()), Math.max(pieces, old.pieces()),
+                awaits.isEmpty() ? old.awaits() : awaits, Math.max(runStamp, old.runStamp()), runOlder ? old.head() : head,
+                Math.max(withdrawStamp, old.withdrawStamp()), closed || old.closed());
+    }
+
     /** The users' picture of the job; live counts, if there are any, are newer than the record's. */
     ObjectNode answer(LiveCounts.Counts live) {
         ObjectNode node = Json.object().put("uid", uid);
--- a/src/main/java/io/sillreel/admission/JobViews.java
+++ b/src/main/java/io/sillreel/admission/JobViews.java
@@ -1,6 +1,7 @@
 package io.sillreel.admission;
 
 import io.sillreel.http.Loop;
+import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.RunRecord;
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.StateStore.Outcome;
@@ -8,27 +9,44 @@
 import io.sillreel.statestore.StateStore.Txn;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * Fresh pictures of jobs. Remembered stamps are confirmed by a comparing transaction, many jobs at a time; what has moved
  * is read again. Either way the store was asked after the question came in, so no answer is older than one given before.
+ *
+ * <p>A job that awaits others is withdrawn as soon as one of those is, whether or not anybody has written that down: so the
+ * same transaction confirms that none of the unfinished jobs that it needs, directly or through others, is withdrawn.
  */
 final class JobViews {
     private static final int REMEMBERED = 4_000;
     private static final long GATHER_MICROS = 4_000;
+    /** What takes many transactions, as long chains do, is asked for the more questions together, the longer it is. */
+    private static final long GATHER_PER_PART_MICROS = 40_000;
+    private static final long MOST_GATHER_MICROS = 800_000;
     private static final int BATCHES_AT_ONCE = 2;
+    private static final int MOST_PER_BATCH = 40;
+    /** A user who polls waits for 2 s. */
+    private static final long GIVE_UP_MICROS = 1_900_000;
 
-    private record Question(String uid, CompletableFuture<JobView> answer) {
+    private record Question(String uid, long askedMicros, CompletableFuture<JobView> answer) {
+    }
+
+    /** A question that is being confirmed: what was thought of its job, and the keys that this rests on. */
+    private record Compared(Question question, JobView view, Set<String> keys) {
     }
 
     private final StateStore store;
     private final Loop loop;
-    private final int mostPerBatch;
+    private final int mostConditions;
     private final Map<String, JobView> views = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -40,11 +58,12 @@
     private final Deque<Question> questions = new ArrayDeque<>();
     private int batches;
     private boolean gathering;
+    private long gatherMicros = GATHER_MICROS;
 
     JobViews(StateStore store, Loop loop, int txnOps) {
         this.store = store;
         this.loop = loop;
-        this.mostPerBatch = Math.max(1, Math.min(40, txnOps * 4 / 3));
+        this.mostConditions = 4 * txnOps;
     }
 
     synchronized JobView remembered(String uid) {
@@ -54,11 +73,7 @@
 
     /** Remembers a view unless what is remembered is newer. */
     synchronized void remember(JobView view) {
-        JobView old = remembered(view.uid());
-        boolean runOlder = view.runStamp() < old.runStamp();
-        JobView merged = new JobView(view.uid(), Math.max(view.planStamp(), old.planStamp()),
-                Math.max(view.pieces(), old.pieces()), Math.max(view.runStamp(), old.runStamp()),
-                runOlder ? old.head() : view.head(), Math.max(view.withdrawStamp(), old.withdrawStamp()));
+        JobView merged = view.with(remembered(view.uid()));
         if (merged.accepted()) {
             views.put(view.uid(), merged);
         }
@@ -66,7 +81,6 @@
 
     /** A view read after this call, or a terminal one; null if the store could not be asked. */
     CompletableFuture<JobView> fresh(String uid) {
-        CompletableFuture<JobView> answer = new CompletableFuture<>();
         synchronized (this) {
             JobView view = remembered(uid);
             if (view.terminal()) {
@@ -75,102 +89,233 @@
             if (store.silent()) {
                 return CompletableFuture.completedFuture(null);
             }
-            questions.add(new Question(uid, answer));
+        }
+        CompletableFuture<JobView> answer = new CompletableFuture<>();
+        ask(new Question(uid, loop.nowMicros(), answer));
+        return answer;
+    }
+
+    /** Views of several jobs, in their order; null for each that the store could not be asked about. */
+    CompletableFuture<List<JobView>> fresh(Collection<String> uids) {
+        List<CompletableFuture<JobView>> each = new ArrayList<>();
+        uids.forEach(uid -> each.add(fresh(uid)));
+        return CompletableFuture.allOf(each.toArray(CompletableFuture[]::new))
+                .thenApply(all -> each.stream().map(CompletableFuture::join).toList());
+    }
+
+    private void ask(Question question) {
+        synchronized (this) {
+            questions.add(question);
             if (gathering || batches >= BATCHES_AT_ONCE) {
-                return answer;
+                return;
             }
             gathering = true;
         }
-        loop.after(GATHER_MICROS, this::ask);
-        return answer;
+        loop.after(gatherMicros, this::ask);
+    }
+
+    /** Once more, with what has been learnt since, unless whoever asked has given up. */
+    private void askAgain(Question question) {
+        if (loop.nowMicros() - question.askedMicros() > GIVE_UP_MICROS) {
+            question.answer().complete(null);
+        } else {
+            ask(question);
+        }
     }
 
     private void ask() {
-        List<Question> batch = new ArrayList<>();
-        List<JobView> compared = new ArrayList<>();
-        Txn txn = new Txn();
+        List<Compared> batch = new ArrayList<>();
+        Map<String, Long> conditions = new LinkedHashMap<>();
+        Map<Question, Set<String>> toLearn = new LinkedHashMap<>();
+        List<Question> closed = new ArrayList<>();
         synchronized (this) {
             gathering = false;
-            while (!questions.isEmpty() && batch.size() < mostPerBatch) {
-                Question question = questions.poll();
+            while (!questions.isEmpty() && batch.size() < MOST_PER_BATCH) {
+                Question question = questions.peek();
                 JobView view = remembered(question.uid());
-                if (!view.accepted()) {
-                    txn.require("plan/" + view.uid(), 0);
+                Map<String, Long> own = own(view);
+                Set<String> unknown = new LinkedHashSet<>();
+                if (view.awaitsOthers() && !addAwaited(view, own, unknown)) {
+                    remember(view.closedBy());
+                    closed.add(questions.poll());
+                } else if (!unknown.isEmpty()) {
+                    toLearn.put(questions.poll(), unknown);
+                } else if (batch.isEmpty() || conditions.size() + own.size() <= mostConditions) {
+                    conditions.putAll(own);
+                    batch.add(new Compared(questions.poll(), view, own.keySet()));
+                } else {
+                    break;
                 }
-                txn.require(RunRecord.key(view.uid()), view.runStamp());
-                txn.require("withdraw/" + view.uid(), view.withdrawStamp());
-                batch.add(question);
-                compared.add(view);
             }
-            if (batch.isEmpty()) {
+            batches += batch.isEmpty() ? 0 : 1;
+        }
+        closed.forEach(question -> question.answer().complete(remembered(question.uid())));
+        toLearn.forEach((question, uids) -> learn(uids).thenAccept(learnt -> {
+            if (learnt) {
+                askAgain(question);
+            } else {
+                question.answer().complete(null);
+            }
+        }));
+        if (!batch.isEmpty()) {
+            compare(conditions).thenAccept(commit -> {
+                synchronized (this) {
+                    batches--;
+                }
+                settle(batch, commit);
+                askForMore();
+            });
+        } else {
+            askForMore();
+        }
+    }
+
+    private void askForMore() {
+        synchronized (this) {
+            if (questions.isEmpty() || gathering || batches >= BATCHES_AT_ONCE) {
                 return;
             }
-            batches++;
+            gathering = true;
         }
-        store.commit(txn).thenAccept(commit -> {
-            synchronized (this) {
-                batches--;
+        loop.after(gatherMicros > GATHER_MICROS ? gatherMicros : 0, this::ask);
+    }
+
+    private static Map<String, Long> own(JobView view) {
+        Map<String, Long> own = new LinkedHashMap<>();
+        if (!view.accepted()) {
+            own.put("plan/" + view.uid(), 0L);
+        }
+        own.put(RunRecord.key(view.uid()), view.runStamp());
+        own.put("withdraw/" + view.uid(), view.withdrawStamp());
+        return own;
+    }
+
+    /**
+     * Adds the absence of withdrawals of all unfinished jobs that this one needs; false if one of them is known to be
+     * withdrawn. Who has been released needs nobody any more, and who is done can't be withdrawn.
+     */
+    private boolean addAwaited(JobView view, Map<String, Long> conditions, Set<String> unknown) {
+        Deque<String> open = new ArrayDeque<>(view.awaits());
+        Set<String> seen = new HashSet<>(open);
+        while (!open.isEmpty()) {
+            JobView awaited = remembered(open.poll());
+            if (!awaited.accepted()) {
+                unknown.add(awaited.uid());
+            } else if (awaited.withdrawn()) {
+                return false;
+            } else if (!awaited.done()) {
+                conditions.put("withdraw/" + awaited.uid(), 0L);
+                if (awaited.awaitsOthers()) {
+                    awaited.awaits().stream().filter(seen::add).forEach(open::add);
+                }
             }
-            settle(batch, compared, commit);
-            boolean more;
-            synchronized (this) {
-                more = !questions.isEmpty() && !gathering;
-                gathering |= more;
+        }
+        return true;
+    }
+
+    /** Compares in as many transactions as it takes: a withdrawal is for ever, so they need not be one moment's. */
+    private CompletableFuture<StateStore.Commit> compare(Map<String, Long> conditions) {
+        List<CompletableFuture<StateStore.Commit>> parts = new ArrayList<>();
+        Txn txn = new Txn();
+        int size = 0;
+        for (Map.Entry<String, Long> condition : conditions.entrySet()) {
+            if (size == mostConditions) {
+                parts.add(store.commit(txn));
+                txn = new Txn();
+                size = 0;
             }
-            if (more) {
-                loop.after(0, this::ask);
+            txn.require(condition.getKey(), condition.getValue());
+            size++;
+        }
+        parts.add(store.commit(txn));
+        gatherMicros = Math.min(MOST_GATHER_MICROS, GATHER_MICROS + GATHER_PER_PART_MICROS * (parts.size() - 1));
+        return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new)).thenApply(all -> {
+            Outcome outcome = Outcome.OK;
+            List<String> failed = new ArrayList<>();
+            for (CompletableFuture<StateStore.Commit> part : parts) {
+                failed.addAll(part.join().failed());
+                if (part.join().outcome() != Outcome.OK && outcome != Outcome.CONFLICT) {
+                    outcome = part.join().outcome();
+                }
             }
+            return new StateStore.Commit(outcome, 0, failed);
         });
     }
 
-    private void settle(List<Question> batch, List<JobView> compared, StateStore.Commit commit) {
-        for (int i = 0; i < batch.size(); i++) {
-            Question question = batch.get(i);
-            if (commit.outcome() == Outcome.OK) {
-                question.answer().complete(compared.get(i));
-            } else if (commit.outcome() == Outcome.UNKNOWN && !store.silent()) {
-                // Transactions alone may go unanswered for a while; reading says the same.
-                reread(question);
-            } else if (commit.outcome() != Outcome.CONFLICT) {
-                question.answer().complete(null);
-            } else if (moved(question.uid(), commit.failed())) {
-                reread(question);
-            } else {
-                synchronized (this) {
-                    questions.add(question);
+    private void settle(List<Compared> batch, StateStore.Commit commit) {
+        for (Compared compared : batch) {
+            Question question = compared.question();
+            switch (commit.outcome()) {
+                case OK -> question.answer().complete(compared.view());
+                case CONFLICT -> {
+                    Set<String> moved = new LinkedHashSet<>();
+                    for (String key : commit.failed()) {
+                        if (compared.keys().contains(key)) {
+                            moved.add(key.substring(key.indexOf('/') + 1));
+                        }
+                    }
+                    if (moved.isEmpty()) {
+                        askAgain(question);
+                    } else {
+                        learn(moved).thenAccept(learnt ->
+                                answerFrom(question, learnt, moved.contains(question.uid())));
+                    }
+                }
+                case UNKNOWN -> {
+                    // Transactions alone may go unanswered for a while; reading says the same.
+                    if (store.silent()) {
+                        question.answer().complete(null);
+                    } else {
+                        learn(Set.of(question.uid())).thenAccept(learnt -> answerFrom(question, learnt, true));
+                    }
                 }
+                default -> question.answer().complete(null);
             }
         }
     }
 
-    private static boolean moved(String uid, List<String> failed) {
-        return failed.contains("plan/" + uid) || failed.contains(RunRecord.key(uid))
-                || failed.contains("withdraw/" + uid);
+    /** Answers with what has just been read, if that was of the job itself and is all there is to know. */
+    private void answerFrom(Question question, boolean read, boolean ofItself) {
+        JobView view = remembered(question.uid());
+        if (!read) {
+            question.answer().complete(null);
+        } else if (ofItself && !view.awaitsOthers()) {
+            question.answer().complete(view);
+        } else {
+            askAgain(question);
+        }
+    }
+
+    /** Reads what is stored of the jobs; false if that can't be said of one of them. */
+    private CompletableFuture<Boolean> learn(Collection<String> uids) {
+        List<CompletableFuture<Boolean>> each = new ArrayList<>();
+        uids.forEach(uid -> each.add(read(uid)));
+        return CompletableFuture.allOf(each.toArray(CompletableFuture[]::new))
+                .thenApply(all -> each.stream().allMatch(CompletableFuture::join));
     }
 
-    private void reread(Question question) {
-        String uid = question.uid();
+    private CompletableFuture<Boolean> read(String uid) {
         JobView old = remembered(uid);
         CompletableFuture<Read> plan = old.accepted() ? null : store.get("plan/" + uid);
         CompletableFuture<Read> run = store.get(RunRecord.key(uid));
         CompletableFuture<Read> withdraw = store.get("withdraw/" + uid);
         CompletableFuture<?> all = plan == null ? CompletableFuture.allOf(run, withdraw)
                 : CompletableFuture.allOf(plan, run, withdraw);
-        all.thenRun(() -> {
+        return all.thenApply(ignored -> {
             if (plan != null && !plan.join().decided() || !run.join().decided() || !withdraw.join().decided()) {
-                question.answer().complete(null);
-                return;
+                return false;
             }
-            JobView view = new JobView(uid, plan == null ? old.planStamp() : plan.join().stamp(),
-                    plan == null ? old.pieces() : pieces(plan.join()), run.join().stamp(),
+            JobView view = plan == null || plan.join().entry() == null ? old
+                    : planned(uid, plan.join().stamp(), JobSpec.ofPlan(plan.join().entry().value().path("job")));
+            remember(new JobView(uid, view.planStamp(), view.pieces(), view.awaits(), run.join().stamp(),
                     run.join().entry() == null ? null : RunRecord.Head.of(run.join().entry().value()),
-                    withdraw.join().stamp());
-            remember(view);
-            question.answer().complete(view);
+                    withdraw.join().stamp(), false));
+            return true;
         });
     }
 
-    private static int pieces(Read plan) {
-        return plan.entry() == null ? 0 : plan.entry().value().path("job").path("pieces").asInt();
+    /** What is known of a job by its plan alone. */
+    static JobView planned(String uid, long planStamp, JobSpec spec) {
+        return new JobView(uid, planStamp, spec.pieces(), spec.awaits(), 0, null, 0, false);
     }
 }
--- a/src/main/java/io/sillreel/ownership/Tenure.java
+++ b/src/main/java/io/sillreel/ownership/Tenure.java
@@ -13,6 +13,8 @@
 import io.sillreel.http.Loop;
 import io.sillreel.http.Reply;
 import io.sillreel.pipeline.ActiveJob;
+import io.sillreel.pipeline.Chains;
+import io.sillreel.pipeline.Closure;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.RetrySchedule;
 import io.sillreel.peer.Peers;
@@ -23,6 +25,7 @@
 import io.sillreel.placement.Demand;
 import io.sillreel.placement.Estimates;
 import io.sillreel.placement.Planner;
+import io.sillreel.placement.PriorityInheritance;
 import io.sillreel.settings.OperatorProperties;
 import io.sillreel.settings.Settings;
 import io.sillreel.statestore.KeyWriter;
@@ -35,8 +38,10 @@
 import io.sillreel.workers.Report;
 import io.sillreel.workers.ReportDesk;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -51,7 +56,7 @@
  * Everything a controller holds while it leads one term: built from the stored plans, records and fleet and from the
  * machines' reports, thrown away with the term. A deposed holder has nothing left to act on.
  */
-public final class Tenure implements ReportDesk.Office, ActiveJob.Watcher, LiveCounts {
+public final class Tenure implements ReportDesk.Office, ActiveJob.Watcher, Chains.Office, LiveCounts {
     private static final Logger LOG = LoggerFactory.getLogger(Tenure.class);
     private static final String PLANS = "plan/";
     private static final String WITHDRAWALS = "withdraw/";
@@ -68,6 +73,8 @@
     /** Launches need to have asked for withdrawals this recently. */
     private static final long WITHDRAW_STALE_MICROS = 4_000_000;
     private static final long HOLDOVER_MARGIN_MICROS = 1_500_000;
+    private static final int MOST_DONE_REMEMBERED = 4_000;
+    private static final long LOOK_AGAIN_MICROS = 1_000_000;
     private static final long DO_TIMEOUT_MICROS = 3_000_000;
     /** A task that needs so many times what its machine has left is not worth waiting for. */
     private static final double HOPELESS_FACTOR = 1.5;
@@ -96,6 +103,17 @@
     private final CapacityPlanner capacity;
     private final ReportDesk desk;
     private final FleetKeeper fleet;
+    private final Chains chains = new Chains(this);
+    private final PriorityInheritance inheritance = new PriorityInheritance(chains, estimates);
+    /** Jobs that are certainly done, as far as they are remembered; the store knows of all. */
+    private final Set<String> doneUids = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_DONE_REMEMBERED;
+        }
+    });
     private final Set<String> withdrawnUids = new HashSet<>();
     private final Set<Machine> haltsDue = new LinkedHashSet<>();
 
@@ -186,7 +204,7 @@
         // is followed from where each list was read.
         long asked = loop.nowMicros();
         List<CompletableFuture<Listing>> lists = new ArrayList<>();
-        for (String prefix : List.of(PLANS, RunRecord.PREFIX, WITHDRAWALS, Hire.PREFIX)) {
+        for (String prefix : List.of(PLANS, RunRecord.PREFIX, WITHDRAWALS, Hire.PREFIX, RunRecord.partsPrefix())) {
             lists.add(store.list(prefix));
         }
         CompletableFuture.allOf(lists.toArray(CompletableFuture[]::new)).thenRun(() -> {
@@ -198,41 +216,55 @@
                 return;
             }
             withdrawProofMicros = asked;
-            build(lists.get(0).join(), lists.get(1).join(), lists.get(2).join(), lists.get(3).join());
+            build(lists.get(0).join(), lists.get(1).join(), lists.get(2).join(), lists.get(3).join(), lists.get(4).join());
         });
     }
 
-    private void build(Listing plans, Listing runs, Listing withdrawals, Listing hires) {
+    private void build(Listing plans, Listing runs, Listing withdrawals, Listing hires, Listing parts) {
         synchronized (cluster) {
             withdrawals.entries().forEach(entry ->
                     withdrawnUids.add(entry.key().substring(WITHDRAWALS.length())));
             Map<String, Entry> heads = new HashMap<>();
-            Map<String, Map<Integer, String>> chunks = new HashMap<>();
+            Map<String, RunRecord.Pieces> pieces = new HashMap<>();
             for (Entry entry : runs.entries()) {
                 String rest = entry.key().substring(RunRecord.PREFIX.length());
                 int slash = rest.indexOf('/');
                 if (slash < 0) {
                     heads.put(rest, entry);
                 } else {
-                    chunks.computeIfAbsent(rest.substring(0, slash), uid -> new HashMap<>())
-                            .put(Integer.parseInt(rest.substring(slash + 1)), entry.value().path("bits").asText());
+                    addPiece(pieces, rest.substring(0, slash), entry);
                 }
             }
+            parts.entries().forEach(entry -> addPiece(pieces, RunRecord.uidOfPart(entry.key()), entry));
             List<Entry> inOrder = new ArrayList<>(plans.entries());
             inOrder.sort((a, b) -> Long.compare(a.stamp(), b.stamp()));
+            Set<String> done = new HashSet<>();
+            List<ActiveJob> unfinished = new ArrayList<>();
             for (Entry plan : inOrder) {
                 String uid = plan.key().substring(PLANS.length());
                 Entry head = heads.get(uid);
-                boolean done = head != null && RunRecord.Head.of(head.value()).isDone();
                 long admitted = plan.value().path("at_us").asLong();
-                if (!done || Demand.remembers(admitted, loop.wallMicros())) {
-                    capacity.arrived(JobSpec.ofPlan(plan.value().path("job")), admitted);
-                }
-                if (done) {
+                if (head != null && RunRecord.Head.of(head.value()).isDone()) {
+                    done.add(uid);
+                    toWrite(pieces.getOrDefault(uid, RunRecord.Pieces.NONE).removals());
+                    if (Demand.remembers(admitted, loop.wallMicros())) {
+                        capacity.arrived(JobSpec.ofPlan(plan.value().path("job")), admitted);
+                    }
                     continue;
                 }
-                enter(plan.value(), plan.stamp(), head, chunks.getOrDefault(uid, Map.of()));
+                ActiveJob job = read(plan.value(), plan.stamp());
+                if (head != null) {
+                    job.inherit(head.stamp(), RunRecord.Head.of(head.value()),
+                            pieces.getOrDefault(uid, RunRecord.Pieces.NONE));
+                }
+                add(job);
+                if (job.complete() && !job.withdrawn()) {
+                    writer.enqueue(job);
+                }
+                unfinished.add(job);
             }
+            chains.begin(unfinished, done::contains, withdrawnUids::contains);
+            unfinished.forEach(inheritance::joined);
             long bound = desk.aliveUntil(loop.nowMicros()) + holdoverMicros() + HOLDOVER_MARGIN_MICROS / 3;
             for (Entry entry : hires.entries()) {
                 fleet.inherit(Hire.of(entry.key(), entry.value(), entry.stamp()), bound);
@@ -248,29 +280,98 @@
         loop.after(0, this::tick);
     }
 
-    private void enter(JsonNode plan, long stamp, Entry head, Map<Integer, String> chunks) {
-        JobSpec spec = JobSpec.ofPlan(plan.path("job"));
-        if (cluster.job(spec.uid()) != null) {
+    private void addPiece(Map<String, RunRecord.Pieces> pieces, String uid, Entry entry) {
+        RunRecord.Pieces ofJob = pieces.computeIfAbsent(uid, each -> new RunRecord.Pieces(new HashMap<>(), new HashMap<>(),
+                RunRecord.chunkPieces(settings.state().storedValueBytes())));
+        ofJob.values().put(entry.key(), entry.value().path("bits").asText());
+        ofJob.stamps().put(entry.key(), entry.stamp());
+    }
+
+    @Override
+    public void toWrite(List<? extends KeyWriter.Item> items) {
+        items.forEach(writer::enqueue);
+    }
+
+    private ActiveJob read(JsonNode plan, long stamp) {
+        return new ActiveJob(JobSpec.ofPlan(plan.path("job")), stamp, plan.path("at_us").asLong(),
+                settings.state().valueBytes(), this);
+    }
+
+    private void add(ActiveJob job) {
+        if (withdrawnUids.contains(job.uid())) {
+            job.withdraw();
+        }
+        if (!job.awaitsOthers()) {
+            capacity.arrived(job.spec(), job.readyWallMicros());
+        }
+        cluster.add(job);
+        dirty = true;
+    }
+
+    /** A job that was admitted during the term. */
+    private void enter(JsonNode plan, long stamp) {
+        ActiveJob job = read(plan, stamp);
+        if (cluster.job(job.uid()) == null) {
+            add(job);
+            chains.enter(job, withdrawnUids::contains);
+            inheritance.joined(job);
+        }
+    }
+
+    @Override
+    public void ready(ActiveJob job) {
+        if (job.withdrawn()) {
             return;
         }
-        ActiveJob job = new ActiveJob(spec, stamp, plan.path("at_us").asLong(), settings.state().valueBytes(), this);
-        if (head != null) {
-            job.inherit(head.stamp(), RunRecord.Head.of(head.value()), chunks);
+        if (job.awaitsOthers()) {
+            job.ready(loop.wallMicros());
+            capacity.arrived(job.spec(), job.readyWallMicros());
         }
-        if (withdrawnUids.contains(spec.uid())) {
-            job.withdraw();
-        } else if (head == null || job.complete()) {
+        if (!job.released()) {
             writer.enqueue(job);
         }
-        cluster.add(job);
-        dirty = true;
+    }
+
+    /** The withdrawal of what follows is told from that of the first; writing it down spares readers to look for it. */
+    @Override
+    public void closed(ActiveJob job, String because) {
+        if (withdrawnUids.add(job.uid())) {
+            LOG.info("withdrawn {}, which needs {}", job.uid(), because);
+            writer.enqueue(new Closure(job.uid(), because, loop.wallMicros()));
+        }
+        foundWithdrawn(job);
+    }
+
+    @Override
+    public void lookUp(String uid) {
+        if (closed || !chains.asks(uid)) {
+            return;
+        }
+        if (doneUids.contains(uid)) {
+            chains.found(uid);
+            return;
+        }
+        store.get(RunRecord.key(uid)).thenAccept(read -> {
+            synchronized (cluster) {
+                if (read.outcome() == Outcome.OK && RunRecord.Head.of(read.entry().value()).isDone()) {
+                    doneUids.add(uid);
+                    chains.found(uid);
+                    return;
+                }
+            }
+            // Not read, or not done though nobody drives it: its plan may yet be seen.
+            loop.after(LOOK_AGAIN_MICROS, () -> {
+                synchronized (cluster) {
+                    lookUp(uid);
+                }
+            });
+        });
     }
 
     private void watchPlans(long since) {
         follow(PLANS, since, PLAN_WATCH_MICROS, change -> {
             if (change.value() != null) {
-                capacity.arrived(JobSpec.ofPlan(change.value().path("job")), change.value().path("at_us").asLong());
-                enter(change.value(), change.stamp(), null, Map.of());
+                enter(change.value(), change.stamp());
             }
         }, sent -> { });
     }
@@ -288,6 +389,7 @@
             if (job != null) {
                 foundWithdrawn(job);
             }
+            chains.withdrawn(uid);
         }
     }
 
@@ -457,9 +559,12 @@
     public void recordStored(ActiveJob job) {
         synchronized (cluster) {
             dirty = true;
+            chains.released(job);
             if (job.doneStored()) {
                 cluster.remove(job);
+                doneUids.add(job.uid());
                 LOG.info("done {}", job.uid());
+                chains.done(job);
             }
         }
     }
@@ -471,6 +576,7 @@
                 job.withdraw();
                 dirty = true;
                 halt(job);
+                inheritance.left(List.of(job));
             }
         }
     }
@@ -575,6 +681,8 @@
             for (ActiveJob job : List.copyOf(cluster.jobs())) {
                 if (job.withdrawn() && job.seatedCount() == 0) {
                     cluster.remove(job);
+                    chains.forget(job);
+                    toWrite(job.leftovers());
                 }
             }
         }
@@ -618,7 +726,7 @@
             Map<String, Double> gauges = new HashMap<>();
             int waiting = 0;
             for (ActiveJob job : cluster.jobs()) {
-                waiting += job.withdrawn() ? 0 : job.waitingCount();
+                waiting += job.withdrawn() || job.awaitsOthers() ? 0 : job.waitingCount();
             }
             double cpus = cluster.machines().stream().filter(machine -> machine.state() == Machine.State.UP)
                     .mapToDouble(machine -> machine.type().cpus()).sum();
--- a/src/main/java/io/sillreel/pipeline/ActiveJob.java
+++ b/src/main/java/io/sillreel/pipeline/ActiveJob.java
@@ -1,11 +1,11 @@
 package io.sillreel.pipeline;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.sillreel.http.Json;
 import io.sillreel.statestore.KeyWriter;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.agrona.collections.Int2IntCounterMap;
@@ -20,14 +20,17 @@
         void recordStored(ActiveJob job);
 
         void foundWithdrawn(ActiveJob job);
+
+        /** These are to be written as well, or the job again if it is among them. */
+        void toWrite(List<? extends KeyWriter.Item> items);
     }
 
     private final JobSpec spec;
     private final long planStamp;
     private final long admittedWallMicros;
-    private final int chunkPieces;
     private final Watcher watcher;
-    private final PipelineRun run;
+    /** Null if the done set fits into the head. */
+    private final DoneParts parts;
 
     private final BitSet done = new BitSet();
     private final BitSet stored = new BitSet();
@@ -36,7 +39,6 @@
     /** Pieces that are done or have a seat; kept with the counts, since reports ask for them all the time. */
     private final BitSet taken = new BitSet();
     private final Int2IntCounterMap seats = new Int2IntCounterMap(0);
-    private final Set<Integer> dirtyChunks = new HashSet<>();
     private final Set<String> failedOn = new HashSet<>();
 
     private int doneCount;
@@ -46,6 +48,13 @@
     private long ranMicros;
     private long longestMicros;
     private long runStamp;
+    private Rank rank;
+    private long neededByMicros;
+    /** What another version stored beside the head and this one does not: removed once the head says all. */
+    private final List<KeyWriter.Item> oldPieces = new ArrayList<>();
+    private long[] generationsSent = {};
+    private boolean ready;
+    private long readyWallMicros;
     private boolean released;
     private boolean inherited;
     private boolean doneSent;
@@ -61,28 +70,35 @@
         this.spec = spec;
         this.planStamp = planStamp;
         this.admittedWallMicros = admittedWallMicros;
-        this.chunkPieces = RunRecord.chunkPieces(valueBytes);
         this.watcher = watcher;
-        this.run = new PipelineRun(PipelinePlan.ofOneJob(spec.uid()));
+        int per = RunRecord.chunkPieces(valueBytes);
+        this.parts = spec.pieces() <= per ? null
+                : new DoneParts(spec.uid(), spec.pieces(), per, all -> watcher.toWrite(List.of(this)));
+        neededByNobody();
+        this.ready = spec.awaits().isEmpty();
+        this.readyWallMicros = admittedWallMicros;
     }
 
     /** Takes over what an earlier holder stored: the job may have tasks anywhere in the stored fleet. */
-    public void inherit(long stamp, RunRecord.Head head, Map<Integer, String> chunks) {
+    public void inherit(long stamp, RunRecord.Head head, RunRecord.Pieces pieces) {
         runStamp = stamp;
         released = true;
         inherited = true;
-        run.release(spec.uid());
+        ready = true;
+        if (head.readyMicros() > 0) {
+            readyWallMicros = head.readyMicros();
+        }
         attempts = head.attempts();
         attemptsSent = attempts;
         nextWallMicros = head.nextMicros();
         reason = head.reason();
-        if (chunked()) {
-            chunks.forEach((chunk, bits) -> RunRecord.decode(bits).stream()
-                    .forEach(bit -> done.set(chunk * chunkPieces + bit)));
-        } else {
-            done.or(RunRecord.decode(head.bits()));
-        }
+        done.or(pieces.read(spec.uid(), head));
         stored.or(done);
+        if (parts != null) {
+            parts.inherit(head, pieces.stamps(), done);
+        } else if (!pieces.stamps().isEmpty()) {
+            oldPieces.addAll(pieces.removals());
+        }
         taken.or(done);
         doneCount = done.cardinality();
         takenCount = doneCount;
@@ -106,6 +122,53 @@
         return admittedWallMicros;
     }
 
+    /** When the last job that it awaits was done; when it was admitted if it awaits none. */
+    public long readyWallMicros() {
+        return readyWallMicros;
+    }
+
+    /** The highest rank of the job and of all that need it: it decides the order, and who may be stopped for whom. */
+    public Rank rank() {
+        return rank;
+    }
+
+    /** By when whoever needs the job needs it, or the largest value there is; time of day. */
+    public long neededByMicros() {
+        return neededByMicros;
+    }
+
+    /** When the job has to be done: by its own deadline, counted from its submission, and for those that need it. */
+    public long endByMicros() {
+        return Math.min(neededByMicros, spec.dueMicros() < 0 ? Long.MAX_VALUE : admittedWallMicros + spec.dueMicros());
+    }
+
+    /** A job of that rank needs this one by then; true if that is more urgent than all before. */
+    public boolean neededBy(Rank byRank, long byMicros) {
+        boolean more = byRank.above(rank) || byMicros < neededByMicros;
+        rank = byRank.above(rank) ? byRank : rank;
+        neededByMicros = Math.min(neededByMicros, byMicros);
+        return more;
+    }
+
+    /** Forgets what others have made of its urgency. */
+    public void neededByNobody() {
+        rank = spec.rank();
+        neededByMicros = Long.MAX_VALUE;
+    }
+
+    /** All that it awaits is done. */
+    public void ready(long wallMicros) {
+        if (!ready) {
+            ready = true;
+            readyWallMicros = wallMicros;
+        }
+    }
+
+    /** True while it awaits other jobs: it asks for nothing, and takes nothing of any limit or guarantee. */
+    public boolean awaitsOthers() {
+        return !ready;
+    }
+
     /** True once the release is stored: only then may tasks be launched. */
     public boolean released() {
         return released;
@@ -122,7 +185,6 @@
 
     public void withdraw() {
         withdrawn = true;
-        run.cancel();
     }
 
     public boolean complete() {
@@ -157,7 +219,9 @@
             taken.set(piece);
             takenCount++;
         }
-        dirtyChunks.add(piece / chunkPieces);
+        if (parts != null) {
+            parts.changed(piece);
+        }
         succeededOnce = true;
         failedOn.clear();
         attempts = 0;
@@ -258,6 +322,11 @@
                 : "attempt " + attempts + " failed: " + why;
     }
 
+    /** What is stored beside the head, once nobody needs it any more. */
+    public List<KeyWriter.Item> leftovers() {
+        return parts == null ? List.copyOf(oldPieces) : parts.removeAll();
+    }
+
     @Override
     public String key() {
         return RunRecord.key(spec.uid());
@@ -281,47 +350,46 @@
         return "withdraw/" + spec.uid();
     }
 
+    @Override
+    public List<KeyWriter.Item> first() {
+        return parts == null || complete() ? List.of() : parts.toWrite(done);
+    }
+
     @Override
     public Map<String, JsonNode> changes() {
-        Map<String, JsonNode> changes = new LinkedHashMap<>();
-        sent.clear();
-        sent.or(done);
         attemptsSent = attempts;
         doneSent = complete();
+        sent.clear();
         String bits = null;
-        if (!doneSent) {
-            if (!chunked()) {
-                bits = RunRecord.encode(done);
-            } else {
-                for (int chunk : dirtyChunks) {
-                    BitSet part = done.get(chunk * chunkPieces, Math.min(spec.pieces(), (chunk + 1) * chunkPieces));
-                    changes.put(RunRecord.chunkKey(spec.uid(), chunk),
-                            Json.object().put("bits", RunRecord.encode(part)));
-                }
-            }
+        if (parts == null || doneSent) {
+            sent.or(done);
+            bits = doneSent ? null : RunRecord.encode(done);
+        } else {
+            sent.or(stored);
+            parts.addTo(sent);
+            generationsSent = parts.generations();
         }
-        dirtyChunks.clear();
         int running = seatedCount;
         String stage = doneSent ? RunRecord.DONE : running > 0 ? "running" : "queued";
-        changes.put(key(), new RunRecord.Head(spec.pieces(), doneCount, running, attempts, nextWallMicros,
-                stage, reason, bits).json());
-        return changes;
+        boolean cut = parts != null && !doneSent;
+        return Map.of(key(), new RunRecord.Head(spec.pieces(), doneCount, running, attempts, nextWallMicros,
+                stage, reason, bits, spec.awaits().isEmpty() ? 0 : readyWallMicros, cut ? parts.per() : 0,
+                cut ? generationsSent : RunRecord.NO_PARTS).json());
     }
 
     @Override
     public void stored(long stamp) {
         runStamp = stamp;
-        if (!released) {
-            released = true;
-            if (!run.cancelled()) {
-                // Else the withdrawal was heard of before the answer to the write that stored the release.
-                run.release(spec.uid());
-            }
-        }
+        released = true;
         stored.or(sent);
-        if (doneSent && !doneStored) {
-            doneStored = true;
-            run.settle(spec.uid(), true);
+        doneStored |= doneSent;
+        List<KeyWriter.Item> unneeded = new ArrayList<>(oldPieces);
+        oldPieces.clear();
+        if (parts != null) {
+            unneeded.addAll(doneStored ? parts.removeAll() : parts.headStored(generationsSent));
+        }
+        if (!unneeded.isEmpty()) {
+            watcher.toWrite(unneeded);
         }
         watcher.recordStored(this);
     }
@@ -329,18 +397,10 @@
     @Override
     public void moved(long stamp) {
         runStamp = stamp;
-        // What the lost write held is not known to be stored: everything beyond the stored set goes again.
-        BitSet open = (BitSet) done.clone();
-        open.andNot(stored);
-        open.stream().forEach(piece -> dirtyChunks.add(piece / chunkPieces));
     }
 
     @Override
     public void forbidden() {
         watcher.foundWithdrawn(this);
     }
-
-    private boolean chunked() {
-        return spec.pieces() > chunkPieces;
-    }
 }
--- /dev/null
+++ b/src/main/java/io/sillreel/pipeline/Chains.java
@@ -0,0 +1,204 @@
+package io.sillreel.pipeline;
+
+import io.sillreel.pipeline.PipelinePlan.Link;
+import io.sillreel.pipeline.PipelineRun.JobState;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * The jobs that a term drives, and the links by which they await each other. A job is released only once the end of all
+ * that it awaits is stored; what follows a withdrawn job is closed. What is awaited and not driven here, since it ended
+ * long ago or its plan has not been seen yet, is looked up in the store and not guessed.
+ */
+public final class Chains {
+    /** What becomes of jobs when links settle. */
+    public interface Office {
+        /** All that the job awaits is stored as done: it may be released. */
+        void ready(ActiveJob job);
+
+        /** Something that the job awaits was withdrawn, and so it is. */
+        void closed(ActiveJob job, String because);
+
+        /** Find out whether the job, which is not driven here, is done, and tell {@link #found}. */
+        void lookUp(String uid);
+    }
+
+    private final Office office;
+    private final Map<String, ActiveJob> jobs = new HashMap<>();
+    private PipelineRun run = new PipelineRun(PipelinePlan.compile(List.of(), List.of()));
+
+    public Chains(Office office) {
+        this.office = office;
+    }
+
+    /**
+     * Takes over what is stored, whatever order it was read in.
+     *
+     * @param unfinished the jobs of the term; those with a stored release need nothing any more
+     * @param done whose end is stored
+     * @param withdrawn whose withdrawal is stored
+     */
+    public void begin(Collection<ActiveJob> unfinished, Predicate<String> done, Predicate<String> withdrawn) {
+        Map<String, ActiveJob> byUid = new LinkedHashMap<>();
+        unfinished.forEach(job -> byUid.put(job.uid(), job));
+        Set<String> names = new LinkedHashSet<>(byUid.keySet());
+        Set<String> unknown = new HashSet<>();
+        List<Link> links = new ArrayList<>();
+        for (ActiveJob job : unfinished) {
+            for (String awaited : awaitedBy(job)) {
+                if (!done.test(awaited)) {
+                    links.add(PipelinePlan.needs(job.uid(), awaited));
+                    if (!byUid.containsKey(awaited)) {
+                        names.add(awaited);
+                        unknown.add(awaited);
+                    }
+                }
+            }
+        }
+        PipelinePlan plan = PipelinePlan.compile(names, links);
+        for (String uid : plan.order()) {
+            if (unknown.contains(uid)) {
+                run.observe(uid);
+            } else {
+                join(byUid.get(uid), plan.into(uid));
+            }
+        }
+        for (String uid : plan.order()) {
+            if (withdrawn.test(uid)) {
+                withdrawn(uid);
+            }
+        }
+        for (String uid : run.ready()) {
+            office.ready(jobs.get(uid));
+        }
+        unknown.forEach(office::lookUp);
+    }
+
+    /** A job that was admitted during the term. */
+    public void enter(ActiveJob job, Predicate<String> withdrawn) {
+        List<Link> into = new ArrayList<>();
+        List<String> unknown = new ArrayList<>();
+        String closedBy = null;
+        for (String awaited : awaitedBy(job)) {
+            if (run.state(awaited) == JobState.SUCCEEDED) {
+                continue;
+            }
+            boolean closed = withdrawn.test(awaited);
+            if (closed) {
+                closedBy = awaited;
+            }
+            if (!run.knows(awaited)) {
+                run.observe(awaited);
+                if (!closed) {
+                    unknown.add(awaited);
+                }
+            }
+            into.add(PipelinePlan.needs(job.uid(), awaited));
+        }
+        join(job, into);
+        if (closedBy != null) {
+            run.cancel(job.uid());
+            office.closed(job, closedBy);
+        } else if (run.state(job.uid()) == JobState.READY) {
+            office.ready(job);
+        }
+        unknown.forEach(office::lookUp);
+    }
+
+    private void join(ActiveJob job, Collection<Link> into) {
+        jobs.put(job.uid(), job);
+        run.add(job.uid(), into);
+        if (job.released()) {
+            run.release(job.uid());
+        }
+    }
+
+    private static List<String> awaitedBy(ActiveJob job) {
+        // Whoever has been released had all that it awaits.
+        return job.released() ? List.of() : job.spec().awaits();
+    }
+
+    /** The release is stored. */
+    public void released(ActiveJob job) {
+        if (run.state(job.uid()) == JobState.READY) {
+            run.release(job.uid());
+        }
+    }
+
+    /** The end is stored: what awaited only this is ready. */
+    public void done(ActiveJob job) {
+        if (run.state(job.uid()) == JobState.RELEASED) {
+            tellReady(run.settle(job.uid(), true));
+        }
+        forget(job);
+    }
+
+    /** What was asked for by {@link Office#lookUp} is known: the job is done. */
+    public void found(String uid) {
+        tellReady(run.found(uid, true));
+        if (run.state(uid) == JobState.SUCCEEDED) {
+            run.forget(uid);
+        }
+    }
+
+    /** True if somebody still waits to know whether that job is done. */
+    public boolean asks(String uid) {
+        return run.isObserved(uid) && run.state(uid) == JobState.WAITING;
+    }
+
+    private void tellReady(List<String> uids) {
+        uids.forEach(uid -> office.ready(jobs.get(uid)));
+    }
+
+    /** The job's withdrawal is stored: all that needs it is closed, in compiled order. */
+    public void withdrawn(String uid) {
+        for (String closed : run.cancel(uid)) {
+            ActiveJob job = jobs.get(closed);
+            if (job != null) {
+                office.closed(job, uid);
+            }
+        }
+    }
+
+    /** The job is over, and nothing of it is anywhere any more. */
+    public void forget(ActiveJob job) {
+        List<String> upstream = run.upstream(job.uid());
+        run.forget(job.uid());
+        jobs.remove(job.uid());
+        for (String each : upstream) {
+            // Nobody asks any more what became of it.
+            if (run.isObserved(each) && run.downstream(each).isEmpty()) {
+                run.forget(each);
+            }
+        }
+    }
+
+    /** Jobs that need the given one directly. */
+    public List<ActiveJob> following(ActiveJob job) {
+        return present(run.downstream(job.uid()));
+    }
+
+    /** Jobs that the given one still awaits directly, as far as they are driven here. */
+    public List<ActiveJob> awaited(ActiveJob job) {
+        return present(run.upstream(job.uid()));
+    }
+
+    private List<ActiveJob> present(List<String> uids) {
+        List<ActiveJob> present = new ArrayList<>();
+        for (String uid : uids) {
+            ActiveJob job = jobs.get(uid);
+            if (job != null) {
+                present.add(job);
+            }
+        }
+        return present;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/sillreel/pipeline/DoneParts.java
@@ -0,0 +1,244 @@
+package io.sillreel.pipeline;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.sillreel.http.Json;
+import io.sillreel.statestore.KeyWriter;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * A done set that is too large for one value. Each part lies under a key of its own generation, and the head names the
+ * generations that count: so parts may be written one after the other, and readers see either all of a new set or all of
+ * the old one. What no head names any more is removed.
+ */
+final class DoneParts {
+    static final String PREFIX = "bits/";
+
+    private final String uid;
+    private final int per;
+    private final long[] named;
+    private final Set<Integer> dirty = new HashSet<>();
+    private final Map<Integer, Part> pending = new LinkedHashMap<>();
+    /** Stamps of what is stored, by key; what is not named by the next head is removed after it. */
+    private final Map<String, Long> stored = new HashMap<>();
+    private final Consumer<DoneParts> onStored;
+    private long lastGeneration;
+
+    /** @param onStored told when all parts that the next head is to name are stored */
+    DoneParts(String uid, int pieces, int per, Consumer<DoneParts> onStored) {
+        this.uid = uid;
+        this.per = per;
+        this.named = new long[(pieces + per - 1) / per];
+        this.onStored = onStored;
+    }
+
+    static String key(String uid, int index, long generation) {
+        return PREFIX + uid + "/" + index + "/" + generation;
+    }
+
+    /** The job that a part belongs to. */
+    static String uidOf(String key) {
+        return key.substring(PREFIX.length(), key.indexOf('/', PREFIX.length()));
+    }
+
+    /** Takes over what the head names, if it was cut alike; else everything is written anew. */
+    void inherit(RunRecord.Head head, Map<String, Long> stamps, BitSet done) {
+        stored.putAll(stamps);
+        for (String key : stamps.keySet()) {
+            if (key.startsWith(PREFIX)) {
+                lastGeneration = Math.max(lastGeneration, Long.parseLong(key.substring(key.lastIndexOf('/') + 1)));
+            }
+        }
+        if (head.per() == per && head.generations().length == named.length) {
+            System.arraycopy(head.generations(), 0, named, 0, named.length);
+        } else {
+            for (int piece = done.nextSetBit(0); piece >= 0; piece = done.nextSetBit((piece / per + 1) * per)) {
+                dirty.add(piece / per);
+            }
+        }
+    }
+
+    int per() {
+        return per;
+    }
+
+    void changed(int piece) {
+        dirty.add(piece / per);
+    }
+
+    /** Parts to be written before the next head; none once all that it is to name are stored. */
+    List<KeyWriter.Item> toWrite(BitSet done) {
+        dirty.removeIf(index -> {
+            Part older = pending.get(index);
+            if (older != null && !older.isStored()) {
+                // One generation at a time: what has come since goes with the next.
+                return false;
+            }
+            if (older != null) {
+                stored.put(older.key(), older.stamp());
+            }
+            pending.put(index, new Part(index, ++lastGeneration, done.get(index * per, (index + 1) * per)));
+            return true;
+        });
+        return pending.values().stream().filter(part -> !part.isStored()).map(KeyWriter.Item.class::cast).toList();
+    }
+
+    /** The generations that the head is to name now. */
+    long[] generations() {
+        long[] next = named.clone();
+        pending.values().stream().filter(Part::isStored).forEach(part -> next[part.index] = part.generation);
+        return next;
+    }
+
+    /** Marks in the set what the named parts hold besides what was named before. */
+    void addTo(BitSet set) {
+        for (Part part : pending.values()) {
+            if (part.isStored()) {
+                part.bits.stream().forEach(bit -> set.set(part.index * per + bit));
+            }
+        }
+    }
+
+    /** The head with those generations is stored: what it does not name is to be removed. */
+    List<KeyWriter.Item> headStored(long[] generations) {
+        System.arraycopy(generations, 0, named, 0, named.length);
+        pending.values().removeIf(part -> {
+            if (part.isStored() && named[part.index] == part.generation) {
+                stored.put(part.key(), part.stamp());
+                return true;
+            }
+            return false;
+        });
+        Set<String> kept = new HashSet<>();
+        for (int index = 0; index < named.length; index++) {
+            kept.add(key(uid, index, named[index]));
+        }
+        pending.values().forEach(part -> kept.add(part.key()));
+        return remove(kept);
+    }
+
+    /** The job is over: nothing of it is needed any more. */
+    List<KeyWriter.Item> removeAll() {
+        pending.values().forEach(part -> stored.put(part.key(), part.stamp()));
+        pending.clear();
+        return remove(Set.of());
+    }
+
+    private List<KeyWriter.Item> remove(Set<String> kept) {
+        List<KeyWriter.Item> removals = new ArrayList<>();
+        stored.entrySet().removeIf(entry -> {
+            if (kept.contains(entry.getKey())) {
+                return false;
+            }
+            removals.add(new Removal(entry.getKey(), entry.getValue()));
+            return true;
+        });
+        return removals;
+    }
+
+    /** One part of the set as it was when it was cut. */
+    private final class Part implements KeyWriter.Item {
+        final int index;
+        final long generation;
+        final BitSet bits;
+        private long stamp;
+        private boolean confirmed;
+
+        Part(int index, long generation, BitSet bits) {
+            this.index = index;
+            this.generation = generation;
+            this.bits = bits;
+        }
+
+        boolean isStored() {
+            return confirmed;
+        }
+
+        @Override
+        public String key() {
+            return DoneParts.key(uid, index, generation);
+        }
+
+        @Override
+        public long stamp() {
+            return stamp;
+        }
+
+        @Override
+        public KeyWriter.Urgency urgency() {
+            return KeyWriter.Urgency.PROGRESS;
+        }
+
+        @Override
+        public Map<String, JsonNode> changes() {
+            return pending.get(index) != this ? Map.of()
+                    : Map.of(key(), Json.object().put("bits", RunRecord.encode(bits)));
+        }
+
+        @Override
+        public void stored(long newStamp) {
+            stamp = newStamp;
+            confirmed = true;
+            if (pending.values().stream().allMatch(Part::isStored)) {
+                onStored.accept(DoneParts.this);
+            }
+        }
+
+        @Override
+        public void moved(long newStamp) {
+            stamp = newStamp;
+        }
+    }
+
+    /** The end of a key that nobody needs any more. */
+    static final class Removal implements KeyWriter.Item {
+        private final String key;
+        private long stamp;
+
+        Removal(String key, long stamp) {
+            this.key = key;
+            this.stamp = stamp;
+        }
+
+        @Override
+        public String key() {
+            return key;
+        }
+
+        @Override
+        public long stamp() {
+            return stamp;
+        }
+
+        @Override
+        public KeyWriter.Urgency urgency() {
+            return KeyWriter.Urgency.PROGRESS;
+        }
+
+        @Override
+        public Map<String, JsonNode> changes() {
+            Map<String, JsonNode> changes = new HashMap<>();
+            if (stamp > 0) {
+                changes.put(key, null);
+            }
+            return changes;
+        }
+
+        @Override
+        public void stored(long newStamp) {
+            stamp = 0;
+        }
+
+        @Override
+        public void moved(long newStamp) {
+            stamp = newStamp;
+        }
+    }
+}
--- a/src/main/java/io/sillreel/pipeline/JobSpec.java
+++ b/src/main/java/io/sillreel/pipeline/JobSpec.java
@@ -8,11 +8,13 @@
 import java.util.List;
 
 /**
- * What was submitted. {@code builds} and {@code yard} are null for any; {@code dueMicros} is negative without a deadline.
+ * What was submitted. {@code builds} and {@code yard} are null for any; {@code dueMicros} is negative without a deadline;
+ * {@code awaits} names the jobs that must be done before this one.
  */
 public record JobSpec(String uid, String lot, String crew, Rank rank, int pieces, double cpus, double cards,
         double ramGb, String reel, double imageGb, List<String> builds, String yard, boolean oneZone, boolean spread,
-        boolean spot, long guessMicros, long markEveryMicros, long stashMicros, long dueMicros) {
+        boolean spot, long guessMicros, long markEveryMicros, long stashMicros, long dueMicros,
+        List<String> awaits) {
 
     /** True if a task saves its progress when it is stopped with enough time. */
     public boolean saves() {
@@ -45,18 +47,16 @@
             builds.forEach(names::add);
             node.set("builds", names);
         }
+        if (!awaits.isEmpty()) {
+            ArrayNode names = node.putArray("awaits");
+            awaits.forEach(names::add);
+        }
         return node;
     }
 
     /** Reads what {@link #json()} wrote; it was checked when it was admitted. */
     public static JobSpec ofPlan(JsonNode node) {
-        List<String> builds = null;
-        if (node.has("builds")) {
-            builds = new ArrayList<>();
-            for (JsonNode name : node.path("builds")) {
-                builds.add(name.asText());
-            }
-        }
+        List<String> builds = node.has("builds") ? texts(node.path("builds")) : null;
         JsonNode yard = node.path("yard");
         return new JobSpec(node.path("uid").asText(), node.path("lot").asText(), node.path("crew").asText(),
                 Rank.of(node.path("rank").asText()).orElse(Rank.NORMAL), node.path("pieces").asInt(),
@@ -64,6 +64,18 @@
                 node.path("reel").asText(), node.path("image_gb").asDouble(), builds,
                 yard.isTextual() ? yard.asText() : null, node.path("one_zone").asBoolean(),
                 node.path("spread").asBoolean(), node.path("loaners").asBoolean(), node.path("guess_us").asLong(),
-                node.path("mark_us").asLong(), node.path("stash_us").asLong(), node.path("due_us").asLong(-1));
+                node.path("mark_us").asLong(), node.path("stash_us").asLong(), node.path("due_us").asLong(-1),
+                texts(node.path("awaits")));
+    }
+
+    private static List<String> texts(JsonNode names) {
+        if (names.isEmpty()) {
+            return List.of();
+        }
+        List<String> texts = new ArrayList<>();
+        for (JsonNode name : names) {
+            texts.add(name.asText());
+        }
+        return texts;
     }
 }
--- a/src/main/java/io/sillreel/pipeline/PipelinePlan.java
+++ b/src/main/java/io/sillreel/pipeline/PipelinePlan.java
@@ -32,9 +32,9 @@
         }
     }
 
-    /** A submitted run: one job, no links. */
-    public static PipelinePlan ofOneJob(String job) {
-        return new PipelinePlan(List.of(job), List.of());
+    /** The link by which a job needs the success of another one. */
+    public static Link needs(String job, String awaited) {
+        return new Link(awaited + ">" + job, awaited, Port.SUCCESS, job);
     }
 
     /** @throws IllegalArgumentException if an id repeats, a link ends nowhere, or there is a cycle */
--- a/src/main/java/io/sillreel/pipeline/RunRecord.java
+++ b/src/main/java/io/sillreel/pipeline/RunRecord.java
@@ -1,22 +1,69 @@
 package io.sillreel.pipeline;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sillreel.http.Json;
+import io.sillreel.statestore.KeyWriter;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
 
 /**
- * The stored form of a pipeline: {@code run/UID} is its head; done sets too large for one value lie in numbered chunks
- * beside it. The head is written with every chunk, so its stamp guards them all.
+ * The stored form of a pipeline: {@code run/UID} is its head; done sets too large for one value lie in parts that the head
+ * names ({@link DoneParts}). The first version cut them into {@code run/UID/N}, written together with the head, by the
+ * largest value that it knew of; what it stored is still read.
  */
 public final class RunRecord {
     public static final String PREFIX = "run/";
     public static final String DONE = "done";
 
+    static final long[] NO_PARTS = {};
+
     private RunRecord() {
     }
 
+    /**
+     * What is stored of a job beside its head.
+     *
+     * @param values what the keys hold, by key; {@code stamps} are theirs
+     * @param firstVersionPer how many pieces the first version put into one value
+     */
+    public record Pieces(Map<String, String> values, Map<String, Long> stamps, int firstVersionPer) {
+        public static final Pieces NONE = new Pieces(Map.of(), Map.of(), 0);
+
+        /** The done set of the head and of the parts that it names. */
+        BitSet read(String uid, Head head) {
+            BitSet done = decode(head.bits());
+            if (head.per() > 0) {
+                for (int index = 0; index < head.generations().length; index++) {
+                    int from = index * head.per();
+                    decode(values.get(DoneParts.key(uid, index, head.generations()[index]))).stream()
+                            .forEach(bit -> done.set(from + bit));
+                }
+                return done;
+            }
+            if (head.bits() == null) {
+                values.forEach((key, bits) -> {
+                    if (key.startsWith(PREFIX)) {
+                        int from = firstVersionPer * Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+                        decode(bits).stream().forEach(bit -> done.set(from + bit));
+                    }
+                });
+            }
+            return done;
+        }
+
+        /** What takes all of them away. */
+        public List<KeyWriter.Item> removals() {
+            List<KeyWriter.Item> removals = new ArrayList<>();
+            stamps.forEach((key, stamp) -> removals.add(new DoneParts.Removal(key, stamp)));
+            return removals;
+        }
+    }
+
     /** How many pieces' done bits fit into one value, leaving half of it for everything else. */
     public static int chunkPieces(int valueBytes) {
         return Math.max(8, valueBytes / 2 / 4 * 3 * 8);
@@ -26,13 +73,21 @@
         return PREFIX + uid;
     }
 
-    public static String chunkKey(String uid, int chunk) {
-        return PREFIX + uid + "/" + chunk;
+    /** The prefix of the parts that heads name. */
+    public static String partsPrefix() {
+        return DoneParts.PREFIX;
+    }
+
+    /** The job that a part belongs to. */
+    public static String uidOfPart(String key) {
+        return DoneParts.uidOf(key);
     }
 
-    /** What the head says. */
+    /**
+     * What the head says; {@code readyMicros} is 0 for a job that awaited no other, {@code per} is 0 if no parts are named.
+     */
     public record Head(int pieces, int done, int running, int attempts, long nextMicros, String stage, String reason,
-            String bits) {
+            String bits, long readyMicros, int per, long[] generations) {
 
         public boolean isDone() {
             return DONE.equals(stage);
@@ -50,6 +105,15 @@
             if (bits != null) {
                 node.put("bits", bits);
             }
+            if (readyMicros > 0) {
+                node.put("ready_us", readyMicros);
+            }
+            if (per > 0) {
+                ArrayNode named = node.put("per", per).putArray("gens");
+                for (long generation : generations) {
+                    named.add(generation);
+                }
+            }
             return node;
         }
 
@@ -57,7 +121,16 @@
             return new Head(node.path("pieces").asInt(), node.path("done").asInt(), node.path("running").asInt(),
                     node.path("attempts").asInt(), node.path("next_us").asLong(), node.path("stage").asText(),
                     node.hasNonNull("reason") ? node.path("reason").asText() : null,
-                    node.hasNonNull("bits") ? node.path("bits").asText() : null);
+                    node.hasNonNull("bits") ? node.path("bits").asText() : null, node.path("ready_us").asLong(),
+                    node.path("per").asInt(), generations(node.path("gens")));
+        }
+
+        private static long[] generations(JsonNode named) {
+            long[] generations = named.isEmpty() ? NO_PARTS : new long[named.size()];
+            for (int index = 0; index < generations.length; index++) {
+                generations[index] = named.path(index).asLong();
+            }
+            return generations;
         }
     }
 
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -55,10 +55,10 @@
         return type + "@" + yard + (spot ? "/spot" : "");
     }
 
-    /** Told once for every plan, so that the standing demand is known; a successor learns it from the stored plans. */
-    public void arrived(JobSpec spec, long admittedWallMicros) {
+    /** Told once for every job when it is ready, so that the standing demand is known; a successor learns it from the stored plans. */
+    public void arrived(JobSpec spec, long readyWallMicros) {
         demand.computeIfAbsent(spec.rank(), rank -> new Demand())
-                .arrived(admittedWallMicros, spec.pieces() * spec.cpus() * estimates.occupiedMicros(spec));
+                .arrived(readyWallMicros, spec.pieces() * spec.cpus() * estimates.occupiedMicros(spec));
     }
 
     /** Work of a rank that is to be done within a time, and the processors that arriving work of higher ranks takes. */
@@ -75,7 +75,7 @@
         }
         List<Load> loads = new ArrayList<>();
         for (ActiveJob job : cluster.jobs()) {
-            if (job.withdrawn() || wallMicros < job.nextWallMicros()) {
+            if (job.withdrawn() || job.awaitsOthers() || wallMicros < job.nextWallMicros()) {
                 continue;
             }
             JobSpec spec = job.spec();
@@ -87,7 +87,7 @@
                 // It is late whatever is done; it still wants doing soon, but does not call for a crowd of machines.
                 left = bootMicros > 0 ? bootMicros + LATE_TASKS * each : each;
             }
-            loads.add(new Load(spec.rank(), work, left, yielded.get(spec.rank())));
+            loads.add(new Load(job.rank(), work, left, yielded.get(job.rank())));
         }
         loads.sort(Comparator.comparing(Load::rank).thenComparingLong(Load::leftMicros));
         return loads;
--- a/src/main/java/io/sillreel/placement/Deadlines.java
+++ b/src/main/java/io/sillreel/placement/Deadlines.java
@@ -32,16 +32,18 @@
     /** The same for tasks that can only start after a delay. */
     public long of(ActiveJob job, long wallMicros, long delayMicros) {
         JobSpec spec = job.spec();
+        long reachable = wallMicros + delayMicros + estimates.slowestMicros(job);
+        long needed = job.neededByMicros();
         if (spec.dueMicros() >= 0) {
-            return job.admittedWallMicros() + spec.dueMicros();
+            long due = job.admittedWallMicros() + spec.dueMicros();
+            return needed >= reachable ? Math.min(due, needed) : due;
         }
-        long reachable = wallMicros + delayMicros + estimates.slowestMicros(job);
-        long first = Long.MAX_VALUE;
+        long first = needed >= reachable ? needed : Long.MAX_VALUE;
         long last = -1;
         for (Objective aim : objectives) {
             if (aim.jobClass().equals(spec.lot()) && aim.withinMicros() > 0) {
-                // An aim for starting leaves the whole run after it.
-                long at = job.admittedWallMicros() + aim.withinMicros()
+                // An aim for starting leaves the whole run after it; all count from when the job was ready.
+                long at = job.readyWallMicros() + aim.withinMicros()
                         + (aim.kind().equals("wait") ? estimates.slowestMicros(job) : 0);
                 last = Math.max(last, at);
                 if (at >= reachable) {
@@ -49,10 +51,10 @@
                 }
             }
         }
-        if (last < 0) {
-            return job.admittedWallMicros() + DEFAULT_WITHIN_MICROS;
+        if (first < Long.MAX_VALUE) {
+            return first;
         }
-        return first < Long.MAX_VALUE ? first : last;
+        return last >= 0 ? last : needed < Long.MAX_VALUE ? needed : job.readyWallMicros() + DEFAULT_WITHIN_MICROS;
     }
 
     /** How long the job's last tasks may still wait to be started; negative once the deadline can't be met. */
--- a/src/main/java/io/sillreel/placement/Estimates.java
+++ b/src/main/java/io/sillreel/placement/Estimates.java
@@ -13,6 +13,9 @@
     private static final long HANDLING_MICROS = 1_500_000;
     /** A fetch is shared by all tasks of the job on the machine, so little of it falls on each. */
     private static final double FETCH_MICROS_PER_GB = 1_000_000;
+    /** A job's first tasks wait for the whole fetch, and a step of a chain for some reports as well. */
+    private static final double WHOLE_FETCH_MICROS_PER_GB = 3_000_000;
+    private static final long START_MICROS = 4_000_000;
     /** What the class says weighs as much as so many measured tasks of the job. */
     private static final int CLASS_TASKS = 2;
     /** How much longer than the mean a job's slowest task takes, until its class has shown that. */
@@ -51,6 +54,11 @@
         return HANDLING_MICROS + Math.round(spec.imageGb() * FETCH_MICROS_PER_GB);
     }
 
+    /** From the end of what a job awaits to its own: its slowest task, the image, and the reports and plans around it. */
+    public long spanMicros(ActiveJob job) {
+        return slowestMicros(job) + START_MICROS + Math.round(job.spec().imageGb() * WHOLE_FETCH_MICROS_PER_GB);
+    }
+
     /** How long a task like the job's is expected to run, without its image fetch. */
     public synchronized long expectedMicros(JobSpec spec) {
         return Math.max(1_000_000, Math.round(spec.guessMicros() * ratios.getOrDefault(spec.lot(), 1.0)));
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -250,7 +250,7 @@
 
     /** No exception from the order of admission lasts for ever: such a job goes before all that came after it. */
     private static boolean aged(ActiveJob job, long wallMicros) {
-        long age = wallMicros - job.admittedWallMicros();
+        long age = wallMicros - job.readyWallMicros();
         return age > END_BY_MICROS || unbegun(job) && age > BEGIN_BY_MICROS;
     }
 
@@ -264,8 +264,8 @@
      * miss its time if it yielded any longer. Level 0 is for what has waited too long.
      */
     private int level(ActiveJob job, long slack, boolean guaranteed, long wallMicros) {
-        Rank rank = job.spec().rank();
-        long age = wallMicros - job.admittedWallMicros();
+        Rank rank = job.rank();
+        long age = wallMicros - job.readyWallMicros();
         int level = levelOf(rank, slack < 0 ? LATE : slack < PRESSING_MICROS ? PRESSING : IN_TIME);
         if (guaranteed && age > GUARANTEE_PATIENCE_MICROS
                 && (unbegun(job) || age < 2 * deadlines.guaranteeMicros())) {
@@ -292,7 +292,7 @@
         jobs.sort(Comparator.comparingLong(ActiveJob::planStamp));
         for (ActiveJob job : jobs) {
             Team team = cluster.team(job.spec().crew());
-            if (job.withdrawn() || team == null) {
+            if (job.withdrawn() || job.awaitsOthers() || team == null) {
                 continue;
             }
             claimed.take(job.spec(), job.spec().pieces());
@@ -429,13 +429,14 @@
             JobSpec spec = queued.job.spec();
             // Stopping others costs work, so it waits until the aim is in danger; work that is lost then, once it is missed,
             // would be lost for nothing.
-            long waited = wallMicros - queued.job.admittedWallMicros();
+            long waited = wallMicros - queued.job.readyWallMicros();
             boolean owed = guaranteed.contains(queued.job) && waited > deadlines.guaranteeMicros() / 2
                     && queued.level <= OWED_LEVEL;
             boolean missed = waited > deadlines.guaranteeMicros();
-            boolean urgent = spec.rank().above(Rank.NORMAL);
+            Rank own = queued.job.rank();
+            boolean urgent = own.above(Rank.NORMAL);
             long slack = deadlines.slackMicros(queued.job, wallMicros);
-            boolean lastChance = spec.rank() != Rank.BEST_EFFORT && slack >= 0 && slack <= LAST_CHANCE_MICROS;
+            boolean lastChance = own != Rank.BEST_EFFORT && slack >= 0 && slack <= LAST_CHANCE_MICROS;
             if (!owed && !urgent && !lastChance) {
                 return false;
             }
@@ -452,16 +453,16 @@
             if (urgent || lastChance) {
                 // The lowest rank everywhere before the next one anywhere: what only fetches loses no work, but its place.
                 Rank[] ranks = Rank.values();
-                for (int each = ranks.length - 1; each > spec.rank().ordinal() && needed > 0; each--) {
+                for (int each = ranks.length - 1; each > own.ordinal() && needed > 0; each--) {
                     Rank rank = ranks[each];
-                    needed -= stop(spec, needed, allowed, seat -> seat.job().spec().rank() == rank
+                    needed -= stop(spec, needed, allowed, seat -> seat.job().rank() == rank
                             && (urgent || seat.job().spec().saves() && !guaranteed.contains(seat.job())));
                 }
             }
             if (owed && needed > 0) {
-                needed -= stop(spec, needed, allowed, seat -> seat.job().spec().saves() && isBeyond(seat, spec));
+                needed -= stop(spec, needed, allowed, seat -> seat.job().spec().saves() && isBeyond(seat, queued.job));
                 if (needed > 0 && !missed) {
-                    stop(spec, needed, allowed, seat -> isBeyond(seat, spec));
+                    stop(spec, needed, allowed, seat -> isBeyond(seat, queued.job));
                 }
             }
             return true;
@@ -471,10 +472,10 @@
          * True if the task is part of what another team runs beyond its own guarantee. High ranks are left alone: they go
          * first in the order, and would take the place back at once.
          */
-        private boolean isBeyond(Seat seat, JobSpec forWhom) {
+        private boolean isBeyond(Seat seat, ActiveJob forWhom) {
             JobSpec spec = seat.job().spec();
-            if (spec.crew().equals(forWhom.crew()) || guaranteed.contains(seat.job())
-                    || spec.rank().above(Rank.NORMAL) && !forWhom.rank().above(Rank.NORMAL)) {
+            if (spec.crew().equals(forWhom.spec().crew()) || guaranteed.contains(seat.job())
+                    || seat.job().rank().above(Rank.NORMAL) && !forWhom.rank().above(Rank.NORMAL)) {
                 return false;
             }
             return left(spec.crew()) >= TeamUse.milli(spec.cpus());
--- /dev/null
+++ b/src/main/java/io/sillreel/placement/PriorityInheritance.java
@@ -0,0 +1,67 @@
+package io.sillreel.placement;
+
+import io.sillreel.pipeline.ActiveJob;
+import io.sillreel.pipeline.Chains;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+
+/**
+ * A job is as urgent as whatever needs it: it takes the highest rank of those, and a deadline that leaves them the time
+ * they are expected to take. Both follow as jobs join a chain and as jobs that needed others are withdrawn.
+ */
+public final class PriorityInheritance {
+    private final Chains chains;
+    private final Estimates estimates;
+
+    public PriorityInheritance(Chains chains, Estimates estimates) {
+        this.chains = chains;
+        this.estimates = estimates;
+    }
+
+    /** The job has joined a chain, or jobs that it is needed by have told it something new. */
+    public void joined(ActiveJob job) {
+        Deque<ActiveJob> open = new ArrayDeque<>();
+        open.add(job);
+        while (!open.isEmpty()) {
+            ActiveJob needing = open.poll();
+            if (needing.withdrawn()) {
+                continue;
+            }
+            for (ActiveJob awaited : chains.awaited(needing)) {
+                if (awaited.neededBy(needing.rank(), startBy(needing))) {
+                    open.add(awaited);
+                }
+            }
+        }
+    }
+
+    /** Jobs that needed others are withdrawn: what they awaited is only as urgent as those that still need it. */
+    public void left(Collection<ActiveJob> withdrawn) {
+        Deque<ActiveJob> open = new ArrayDeque<>();
+        withdrawn.forEach(job -> open.addAll(chains.awaited(job)));
+        while (!open.isEmpty()) {
+            ActiveJob job = open.poll();
+            if (job.withdrawn()) {
+                continue;
+            }
+            var rank = job.rank();
+            long before = job.neededByMicros();
+            job.neededByNobody();
+            for (ActiveJob needing : chains.following(job)) {
+                if (!needing.withdrawn()) {
+                    job.neededBy(needing.rank(), startBy(needing));
+                }
+            }
+            if (rank != job.rank() || before != job.neededByMicros()) {
+                open.addAll(chains.awaited(job));
+            }
+        }
+    }
+
+    /** When all that the job awaits has to be done so that it ends in time; time of day. */
+    private long startBy(ActiveJob job) {
+        long end = job.endByMicros();
+        return end == Long.MAX_VALUE ? end : end - estimates.spanMicros(job);
+    }
+}
--- a/src/main/java/io/sillreel/settings/Settings.java
+++ b/src/main/java/io/sillreel/settings/Settings.java
@@ -26,7 +26,15 @@
     public record WorkerTimes(long reportMicros, long leaseMicros, long cancelMicros) {
     }
 
-    public record StateLimits(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {
+    /**
+     * What the state service takes. It may lower its limits at any moment to what was announced, so what is written is
+     * never larger than both allow; rates are the present ones, and follow what is refused.
+     *
+     * @param valueBytes the smaller of the present limit and the announced one, and so is {@code txnOps}
+     * @param storedValueBytes the present limit, by which versions that knew of no other cut what they stored
+     */
+    public record StateLimits(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps,
+            int storedValueBytes) {
     }
 
     public record CloudLimits(double requestsPerSecond, long listLagMicros) {
--- a/src/main/java/io/sillreel/settings/SettingsReader.java
+++ b/src/main/java/io/sillreel/settings/SettingsReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import io.sillreel.http.Json;
 import io.sillreel.settings.Settings.CloudLimits;
@@ -27,6 +28,8 @@
     private static final double LEAST_REQUESTS = 4;
     private static final double LEAST_WRITES = 2;
     private static final double LEAST_OPS = 2;
+    /** A submission with all its texts, or a rental of a few machines. */
+    private static final double LEAST_VALUE_KB = 1;
     /** What a process holds that has only started, measured, and sockets for its listeners, its own calls and a few users. */
     private static final double LEAST_MEMORY_MB = 48;
     private static final double LEAST_SOCKETS = 40;
@@ -95,13 +98,25 @@
                 address(root.hostPort("internal_addr")), List.copyOf(members), endpoints.hostPort("cloud"),
                 endpoints.hostPort("state"), params.texts("zones"), Math.round(params.amount("skew_ms") * 1_000),
                 teams, List.copyOf(objectives), times,
-                new StateLimits(state.atLeast("rps", LEAST_REQUESTS), state.atLeast("write_rps", LEAST_WRITES),
-                        (int) (state.atLeast("value_kb", 1) * 1024), (int) state.atLeast("txn_ops", LEAST_OPS)),
+                limits(state),
                 new CloudLimits(cloud.positive("rps"), cloud.micros("list_lag_s")),
                 new Resources(resources.positive("cores"), resources.atLeast("memory_mb", LEAST_MEMORY_MB),
                         (int) resources.atLeast("max_sockets", LEAST_SOCKETS)));
     }
 
+    private static StateLimits limits(Section state) {
+        double requests = state.atLeast("rps", LEAST_REQUESTS);
+        double writes = state.atLeast("write_rps", LEAST_WRITES);
+        double valueKb = state.atLeast("value_kb", LEAST_VALUE_KB);
+        double txnOps = state.atLeast("txn_ops", LEAST_OPS);
+        Section next = state.sectionOr("next");
+        next.atLeastOr("rps", LEAST_REQUESTS, requests);
+        next.atLeastOr("write_rps", LEAST_WRITES, writes);
+        return new StateLimits(requests, writes,
+                (int) (Math.min(valueKb, next.atLeastOr("value_kb", LEAST_VALUE_KB, valueKb)) * 1024),
+                (int) Math.min(txnOps, next.atLeastOr("txn_ops", LEAST_OPS, txnOps)), (int) (valueKb * 1024));
+    }
+
     private static InetSocketAddress address(String hostPort) {
         int colon = hostPort.lastIndexOf(':');
         return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
@@ -129,6 +144,11 @@
             return new Section(name(field), value);
         }
 
+        /** The table, or an empty one if there is none. */
+        Section sectionOr(String field) {
+            return node.hasNonNull(field) ? section(field) : new Section(name(field), MissingNode.getInstance());
+        }
+
         List<Section> list(String field) {
             JsonNode value = node.path(field);
             List<Section> sections = new ArrayList<>();
@@ -208,6 +228,10 @@
             return value;
         }
 
+        double atLeastOr(String field, double least, double otherwise) {
+            return node.hasNonNull(field) ? atLeast(field, least) : otherwise;
+        }
+
         long micros(String field) {
             return Math.round(positive(field) * MICROS);
         }
--- a/src/main/java/io/sillreel/statestore/KeyWriter.java
+++ b/src/main/java/io/sillreel/statestore/KeyWriter.java
@@ -9,9 +9,11 @@
 import io.sillreel.statestore.StateStore.Txn;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -33,9 +35,17 @@
 
         long stamp();
 
-        /** What to write now, the guarding key included; null as value removes. Asked for when the write is sent. */
+        /**
+         * What to write now, the guarding key included; null as value removes, and nothing at all means that there is
+         * nothing left to write. Asked for when the write is sent.
+         */
         Map<String, JsonNode> changes();
 
+        /** What has to be stored before this; it queues the item again once that is done. */
+        default List<Item> first() {
+            return List.of();
+        }
+
         /** How urgent the change is that would be written now. */
         default Urgency urgency() {
             return Urgency.START;
@@ -52,6 +62,10 @@
         /** The guarding key has another stamp than thought; the item will be written again. */
         void moved(long stamp);
 
+        /** Alone it is larger than the store takes; it is not written again unless it is queued again, smaller. */
+        default void tooLarge() {
+        }
+
         /** The key that must not exist does. */
         default void forbidden() {
         }
@@ -63,8 +77,9 @@
     private static final long RETRY_MICROS = 250_000;
     private static final long IDLE_MICROS = 50_000;
     private static final long STUCK_MICROS = 15_000_000;
-    /** Writes left over for withdrawals and admissions on this controller. */
+    /** Writes left over for withdrawals and admissions on this controller, and the most of a low rate that this may be. */
     private static final double RESERVE = 2;
+    private static final double MOST_RESERVE_PART = 0.25;
     /** Progress waits so long for more of its kind, and leaves so much of the rate to what can't wait. */
     private static final long PROGRESS_GATHER_MICROS = 2_000_000;
     private static final double PROGRESS_RESERVE_PART = 0.3;
@@ -77,6 +92,8 @@
     private final Runnable deposed;
     private final Map<String, Item> waiting = new LinkedHashMap<>();
     private final Map<String, Long> sinceMicros = new HashMap<>();
+    /** Written one by one, since together they were too large. */
+    private final Set<String> alone = new HashSet<>();
     private boolean busy;
     private long busySinceMicros;
     private boolean closed;
@@ -102,6 +119,11 @@
         }
     }
 
+    private void remove(Item item) {
+        waiting.remove(item.key());
+        sinceMicros.remove(item.key());
+    }
+
     public synchronized void close() {
         closed = true;
         waiting.clear();
@@ -139,21 +161,33 @@
                 return;
             }
             int bytes = 0;
-            double available = store.writesAvailable() - RESERVE;
+            double burst = store.writeBurst();
+            double available = store.writesAvailable() - Math.min(RESERVE, MOST_RESERVE_PART * burst);
             for (Item item : inOrder()) {
                 double room = Math.min(txnOps, item.urgency() == Urgency.PROGRESS
-                        ? available - PROGRESS_RESERVE_PART * store.writeBurst() : available);
+                        ? available - PROGRESS_RESERVE_PART * burst : available);
+                List<Item> first = item.first();
+                if (!first.isEmpty()) {
+                    remove(item);
+                    first.forEach(this::add);
+                    continue;
+                }
                 Map<String, JsonNode> changes = item.changes();
+                if (changes.isEmpty()) {
+                    remove(item);
+                    continue;
+                }
                 int size = 0;
                 for (JsonNode value : changes.values()) {
                     size += value == null ? 0 : Json.bytes(value).length + 300;
                 }
-                if (txn.size() + changes.size() > room || !batch.isEmpty() && bytes + size > MOST_BYTES) {
+                boolean full = bytes + size > MOST_BYTES || alone.contains(item.key()) || alone.contains(batch.isEmpty()
+                        ? "" : batch.get(0).key());
+                if (txn.size() + changes.size() > room || !batch.isEmpty() && full) {
                     break;
                 }
                 bytes += size;
-                waiting.remove(item.key());
-                sinceMicros.remove(item.key());
+                remove(item);
                 batch.add(item);
                 txn.require(item.key(), item.stamp());
                 if (item.absent() != null) {
@@ -212,6 +246,9 @@
             return;
         }
         if (commit.outcome() == Outcome.OK) {
+            synchronized (this) {
+                batch.forEach(item -> alone.remove(item.key()));
+            }
             batch.forEach(item -> tell(item, each -> each.stored(commit.ledger())));
             again(GATHER_MICROS);
             return;
@@ -234,6 +271,11 @@
             reread(moved);
             return;
         }
+        if (commit.outcome() == Outcome.TOO_LARGE) {
+            tooLarge(batch);
+            again(GATHER_MICROS);
+            return;
+        }
         if (commit.outcome() == Outcome.UNKNOWN) {
             LOG.info("a write of {} keys got no answer, reading them again", batch.size());
             reread(batch);
@@ -243,6 +285,23 @@
         again(RETRY_MICROS);
     }
 
+    /** The same is never sent again: what was refused together goes one by one, and what was refused alone waits. */
+    private void tooLarge(List<Item> batch) {
+        if (batch.size() > 1) {
+            batch.forEach(item -> {
+                synchronized (this) {
+                    alone.add(item.key());
+                }
+                add(item);
+            });
+            return;
+        }
+        Item item = batch.get(0);
+        int bytes = item.changes().values().stream().mapToInt(value -> value == null ? 0 : Json.bytes(value).length).sum();
+        LOG.error("{} is refused by the state service with {} bytes, and is not written again as it is", item.key(), bytes);
+        tell(item, Item::tooLarge);
+    }
+
     /** One item that can't take what became of its write must not keep all others from being written. */
     private static void tell(Item item, Consumer<Item> news) {
         try {
--- a/src/main/java/io/sillreel/statestore/Pacer.java
+++ b/src/main/java/io/sillreel/statestore/Pacer.java
@@ -2,18 +2,30 @@
 
 import io.sillreel.http.Loop;
 
-/** A token bucket with one second's worth of burst: this controller's part of a rate that several share. */
+/**
+ * A token bucket with one second's worth of burst: this controller's part of a rate that several share. What is refused all
+ * the same shows that the rate has been lowered, or that others use more of it; then the part shrinks, and grows back
+ * slowly.
+ */
 public final class Pacer {
+    private static final double SHRINK = 0.75;
+    private static final double LEAST_PART = 0.1;
+    private static final double REGAINED_PER_SECOND = 0.02;
+    /** What is refused within so long is refused for the same reason. */
+    private static final long SAME_MICROS = 300_000;
+
     private final Loop loop;
-    private final double perSecond;
-    private final double burst;
+    private final double mostPerSecond;
+    private final double mostBurst;
+    private double part = 1;
     private double tokens;
     private long atMicros;
+    private long refusedMicros = Long.MIN_VALUE / 2;
 
     public Pacer(Loop loop, double perSecond, double burst) {
         this.loop = loop;
-        this.perSecond = perSecond;
-        this.burst = burst;
+        this.mostPerSecond = perSecond;
+        this.mostBurst = burst;
         this.tokens = burst;
         this.atMicros = loop.nowMicros();
     }
@@ -21,7 +33,7 @@
     /** Takes the tokens if they are there; a request larger than the bucket may overdraw a full one. */
     public synchronized boolean tryTake(double amount) {
         refill();
-        if (tokens >= Math.min(amount, burst)) {
+        if (tokens >= Math.min(amount, burst())) {
             tokens -= amount;
             return true;
         }
@@ -34,18 +46,30 @@
         tokens -= amount;
     }
 
+    /** Something was refused for the rate: from now on less is asked for. */
+    public synchronized void refused() {
+        refill();
+        tokens = Math.min(tokens, 0);
+        if (loop.nowMicros() - refusedMicros > SAME_MICROS) {
+            refusedMicros = loop.nowMicros();
+            part = Math.max(LEAST_PART, part * SHRINK);
+        }
+    }
+
     public synchronized double available() {
         refill();
         return tokens;
     }
 
-    public double burst() {
-        return burst;
+    public synchronized double burst() {
+        return part * mostBurst;
     }
 
     private void refill() {
         long now = loop.nowMicros();
-        tokens = Math.min(burst, tokens + perSecond * (now - atMicros) / 1_000_000.0);
+        double seconds = (now - atMicros) / 1_000_000.0;
+        part = Math.min(1, part + REGAINED_PER_SECOND * seconds);
+        tokens = Math.min(burst(), tokens + part * mostPerSecond * seconds);
         atMicros = now;
     }
 }
--- a/src/main/java/io/sillreel/statestore/StateStore.java
+++ b/src/main/java/io/sillreel/statestore/StateStore.java
@@ -14,8 +14,11 @@
 
 /** Client of the state service, paced below this controller's part of the shared rates. */
 public final class StateStore {
-    /** What became of a request. UNKNOWN: it may have been executed, or may yet be; read before deciding. */
-    public enum Outcome { OK, NOT_FOUND, CONFLICT, REFUSED, NO_SUCH_LEASE, COMPACTED, UNKNOWN }
+    /**
+     * What became of a request. UNKNOWN: it may have been executed, or may yet be; read before deciding. TOO_LARGE: not
+     * executed, nor will it ever be as it is.
+     */
+    public enum Outcome { OK, NOT_FOUND, CONFLICT, REFUSED, TOO_LARGE, NO_SUCH_LEASE, COMPACTED, UNKNOWN }
 
     public record Entry(String key, JsonNode value, long stamp) {
     }
@@ -129,11 +132,14 @@
     }
 
     public CompletableFuture<Commit> commit(Txn txn) {
-        if (txn.size() > 0 && !writes.tryTake(txn.size())) {
+        if (!requests.tryTake(1) || txn.size() > 0 && !writes.tryTake(txn.size())) {
             return CompletableFuture.completedFuture(new Commit(Outcome.REFUSED, 0, List.of()));
         }
         long timeout = txn.size() > 0 ? TIMEOUT_MICROS : COMPARE_TIMEOUT_MICROS;
-        return send(Call.post("/txn", txn.json()), timeout).thenApply(reply -> {
+        return caller.call(address, Call.post("/txn", txn.json()), timeout).thenApply(reply -> {
+            if (reply.status() == 429) {
+                (txn.size() > 0 ? writes : requests).refused();
+            }
             JsonNode body = reply.json();
             List<String> failed = new ArrayList<>();
             body.path("failed").forEach(key -> failed.add(key.asText()));
@@ -174,7 +180,12 @@
         if (!requests.tryTake(1)) {
             return CompletableFuture.completedFuture(Reply.later(429, "paced", 1));
         }
-        return caller.call(address, call, timeoutMicros);
+        return caller.call(address, call, timeoutMicros).thenApply(reply -> {
+            if (reply.status() == 429) {
+                requests.refused();
+            }
+            return reply;
+        });
     }
 
     private CompletableFuture<Reply> sendNow(Call call) {
@@ -197,7 +208,7 @@
             case 409 -> Outcome.CONFLICT;
             case 410 -> Outcome.COMPACTED;
             case 400 -> reply.json().path("error").asText().equals("no such lease")
-                    ? Outcome.NO_SUCH_LEASE : Outcome.REFUSED;
+                    ? Outcome.NO_SUCH_LEASE : Outcome.TOO_LARGE;
             case 429, 503, Reply.NOT_SENT -> Outcome.REFUSED;
             default -> Outcome.UNKNOWN;
         };
--- /dev/null
+++ b/src/test/java/io/sillreel/pipeline/ChainStoriesTest.java
@@ -0,0 +1,299 @@
+package io.sillreel.pipeline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sillreel.http.Reply;
+import io.sillreel.sim.SimNetwork.Fate;
+import io.sillreel.sim.SimNetwork.Rule;
+import io.sillreel.sim.World;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Jobs that await others, seen from outside; the world checks that none starts too early and that none is orphaned. */
+class ChainStoriesTest {
+    private static final long SECOND = 1_000_000;
+    private final World world = new World(31);
+
+    @BeforeEach
+    void begin() {
+        world.seconds(2);
+    }
+
+    private static String uid(int number) {
+        return "job-%06d".formatted(number);
+    }
+
+    private int accepted(int node, ObjectNode job) {
+        Reply reply = world.submit(node, job);
+        for (int tries = 0; tries < 20 && reply.status() / 100 != 2; tries++) {
+            world.seconds(1);
+            reply = world.submit(node, job);
+        }
+        return reply.status();
+    }
+
+    private void everyNodeSays(String uid, String stage) {
+        for (int node = 0; node < world.nodes(); node++) {
+            if (world.isUp(node)) {
+                assertThat(world.stage(node, uid)).as("%s at %d", uid, node).isEqualTo(stage);
+            }
+        }
+    }
+
+    private int someNode() {
+        return world.isUp(0) ? 0 : 1;
+    }
+
+    /** The chain of the users: one, then two beside each other, then one that needs the first as well. */
+    @Test
+    void eachStepStartsOnlyOnceAllThatItAwaitsIsDone() {
+        world.submit(0, World.job(uid(1), 3));
+        world.submit(1, World.job(uid(2), 4, uid(1)));
+        world.submit(2, World.job(uid(3), 2, uid(1)));
+        assertThat(world.submit(0, World.job(uid(4), 2, uid(2), uid(3), uid(1))).status()).isEqualTo(201);
+        everyNodeSays(uid(4), "queued");
+        world.untilStarted(3, 3 * SECOND);
+        assertThat(world.state().value("run/" + uid(2))).isNull();
+        world.seconds(60);
+        for (int job = 1; job <= 4; job++) {
+            everyNodeSays(uid(job), "done");
+        }
+        assertThat(world.starts()).isEqualTo(11);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards what a submission may name, and who says so: the state service, and nobody's memory. */
+    @Test
+    void whatASubmissionNamesIsChecked() {
+        world.submit(0, World.job(uid(1), 1));
+        assertThat(world.submit(1, World.job(uid(2), 1).putNull("awaits")).status()).isEqualTo(201);
+        assertThat(world.submit(1, World.job(uid(3), 1, new String[0])).status()).isEqualTo(201);
+        List<Consumer<ObjectNode>> mistakes = List.of(job -> job.put("awaits", uid(1)), job -> job.put("awaits", 3),
+                job -> job.putObject("awaits"), job -> job.putArray("awaits").add(7),
+                job -> job.putArray("awaits").add("nonsense"), job -> job.putArray("awaits").addNull(),
+                job -> job.putArray("awaits").add(uid(1)).add("job-"));
+        for (Consumer<ObjectNode> mistake : mistakes) {
+            ObjectNode job = World.job(uid(4), 1);
+            mistake.accept(job);
+            assertThat(world.submit(2, job).status()).as(job.toString()).isEqualTo(400);
+        }
+        assertThat(world.submit(2, World.job(uid(4), 1, uid(1), uid(99))).status()).isEqualTo(422);
+        assertThat(world.submit(2, World.job(uid(4), 1, uid(4))).status()).isEqualTo(422);
+        assertThat(world.submit(2, World.job(uid(4), 1, uid(1)).put("vcpus", 64.0)).status()).isEqualTo(422);
+        assertThat(world.poll(0, uid(4)).status()).isEqualTo(404);
+        assertThat(world.submit(2, World.job(uid(4), 1, uid(1), uid(1))).status()).isEqualTo(201);
+        assertThat(world.state().value("plan/" + uid(4)).path("job").path("awaits")).hasSize(1);
+        world.state().outage(true);
+        assertThat(world.submit(2, World.job(uid(5), 1, uid(99))).status()).isEqualTo(503);
+        world.state().outage(false);
+        world.seconds(30);
+        // A repeat is answered with the state, whatever became of what it names.
+        assertThat(world.submit(0, World.job(uid(4), 1, uid(1))).json().path("stage").asText()).isEqualTo("done");
+        assertThat(world.submit(0, World.job(uid(4), 1, uid(98))).status()).isEqualTo(200);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards a name that was accepted a moment ago, by a controller whose answer to that was lost. */
+    @Test
+    void whatAnotherControllerAcceptedThisVeryMomentIsFound() {
+        for (int i = 1; i <= 20; i++) {
+            String first = uid(2 * i);
+            world.submitMeanwhile(i % 3, World.job(first, 1));
+            world.until(() -> world.state().value("plan/" + first) != null);
+            assertThat(world.submit((i + 1) % 3, World.job(uid(2 * i + 1), 1, first)).status()).isEqualTo(201);
+        }
+        world.seconds(60);
+        everyNodeSays(uid(41), "done");
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards a long list against being accepted and lost: it has to fit into the plan. */
+    @Test
+    void aListThatCanNotBeStoredIsRefused() {
+        String[] names = new String[300];
+        for (int i = 0; i < names.length; i++) {
+            names[i] = uid(i + 1);
+            world.submitMeanwhile(i % 3, World.job(names[i], 1));
+            world.seconds(0.05);
+        }
+        world.seconds(5);
+        ObjectNode large = World.job(uid(999), 1, names);
+        world.until(() -> world.submit(0, large).status() != 503);
+        assertThat(world.submit(0, large).status()).isEqualTo(422);
+        assertThat(world.submit(0, large).json().path("error").asText()).contains("too large");
+        assertThat(world.poll(1, uid(999)).status()).isEqualTo(404);
+        assertThat(accepted(0, World.job(uid(998), 1, List.of(names).subList(0, 80).toArray(String[]::new)))).isEqualTo(201);
+        world.seconds(120);
+        everyNodeSays(uid(998), "done");
+        assertThat(world.state().refusedForSize()).isZero();
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards readers: what follows a withdrawn job is withdrawn at once, though nobody has written that down yet. */
+    @Test
+    void aWithdrawalClosesAllThatFollowsWhoeverIsAsked() {
+        world.submit(0, World.job(uid(1), 4).put("guess_s", 60.0));
+        world.submit(1, World.job(uid(2), 2, uid(1)));
+        world.submit(2, World.job(uid(3), 2, uid(2)));
+        world.submit(0, World.job(uid(4), 2, uid(3)));
+        world.submit(0, World.job(uid(5), 2).put("guess_s", 60.0));
+        world.untilStarted(6, 600 * SECOND);
+        int holder = world.leader();
+        // Nobody leads for the next seconds, so nobody writes what follows.
+        world.kill(holder);
+        int other = (holder + 1) % 3;
+        assertThat(world.withdraw(other, uid(1)).json().path("stage").asText()).isEqualTo("withdrawn");
+        for (int job = 2; job <= 4; job++) {
+            assertThat(world.state().value("withdraw/" + uid(job))).isNull();
+            everyNodeSays(uid(job), "withdrawn");
+            assertThat(world.withdraw(other, uid(job)).json().path("stage").asText()).isEqualTo("withdrawn");
+        }
+        // Who names one of them now is accepted, and withdrawn with them.
+        Reply late = world.submit(other, World.job(uid(6), 1, uid(4)));
+        assertThat(late.status()).isEqualTo(201);
+        assertThat(late.json().path("stage").asText()).isEqualTo("withdrawn");
+        everyNodeSays(uid(6), "withdrawn");
+        world.seconds(15);
+        for (int job = 1; job <= 4; job++) {
+            assertThat(world.state().value("withdraw/" + uid(job))).as(uid(job)).isNotNull();
+        }
+        assertThat(world.stage(other, uid(5))).isIn("queued", "running");
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards what a reader says against a withdrawal of any step, first, middle or last, at any moment. */
+    @Test
+    void aWithdrawalInEachSecondOfAChainClosesWhatFollowsAndNothingElse() {
+        for (int half = 0; half < 24; half++) {
+            World each = new World(200 + half);
+            each.seconds(2);
+            each.submit(0, World.job(uid(1), 2));
+            each.submit(1, World.job(uid(2), 2, uid(1)));
+            each.submit(2, World.job(uid(3), 2, uid(2)));
+            each.seconds(half * 0.9);
+            int step = 1 + half % 3;
+            String told = each.withdraw(half % 3, uid(step)).json().path("stage").asText();
+            each.seconds(50);
+            for (int job = 1; job <= 3; job++) {
+                String expected = told.equals("withdrawn") && job >= step ? "withdrawn" : "done";
+                for (int node = 0; node < 3; node++) {
+                    assertThat(each.stage(node, uid(job))).as("after %d times 0.9 s, %s", half, uid(job)).isEqualTo(expected);
+                }
+            }
+            assertThat(each.broken()).isEmpty();
+        }
+    }
+
+    /** Guards the order of what is stored: the release of a step is never there before the end of what it awaits. */
+    @Test
+    void aChainGoesOnThroughTakeoversLateReportsAndLostAnswers() {
+        for (int seed = 1; seed <= 5; seed++) {
+            World each = new World(300 + seed);
+            each.seconds(2);
+            for (int job = 1; job <= 8; job++) {
+                each.submit(job % 3, job == 1 ? World.job(uid(1), 3) : World.job(uid(job), 3, uid(job - 1)));
+            }
+            int lost = seed;
+            Rule rule = each.network().add((from, to, call) -> call.route().equals("/txn")
+                    && new String(call.body(), java.nio.charset.StandardCharsets.UTF_8).contains("\"run/")
+                    && (from.hashCode() + call.body().length + lost) % 3 == 0 ? Fate.LOSE_ANSWER : null);
+            each.network().add((from, to, call) -> call.route().equals("/agent/beat") ? Fate.COPY : null);
+            for (int change = 0; change < 4; change++) {
+                each.seconds(7 + seed);
+                int holder = each.leader();
+                if (holder >= 0) {
+                    each.kill(holder);
+                    each.seconds(4);
+                    each.restart(holder);
+                }
+            }
+            each.network().remove(rule);
+            each.seconds(150);
+            for (int job = 1; job <= 8; job++) {
+                assertThat(each.stage(0, uid(job))).as("seed %d, %s", seed, uid(job)).isEqualTo("done");
+            }
+            assertThat(each.broken()).isEmpty();
+        }
+    }
+
+    /** Guards what is awaited and was done long ago, before this term and before this controller. */
+    @Test
+    void whatIsAwaitedMayBeDoneLongAgo() {
+        world.submit(0, World.job(uid(1), 1));
+        world.submit(0, World.job(uid(2), 1));
+        world.seconds(25);
+        everyNodeSays(uid(1), "done");
+        world.submit(1, World.job(uid(3), 1, uid(1), uid(2)));
+        for (int node = 0; node < 3; node++) {
+            world.restart(node);
+        }
+        world.seconds(5);
+        assertThat(world.submit(2, World.job(uid(4), 1, uid(1), uid(3))).status()).isEqualTo(201);
+        world.seconds(40);
+        everyNodeSays(uid(3), "done");
+        everyNodeSays(uid(4), "done");
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards the way through a long chain: its links are settled one by one, and polls of its end stay answered. */
+    @Test
+    void aChainOfHundredsIsClosedFromItsBeginning() {
+        world.submit(0, World.job(uid(1), 1));
+        world.untilStarted(1, 600 * SECOND);
+        for (int job = 2; job <= 300; job++) {
+            assertThat(accepted(job % 3, World.job(uid(job), 1, uid(job - 1)))).isEqualTo(201);
+        }
+        world.seconds(2);
+        assertThat(world.stage(1, uid(300))).isEqualTo("queued");
+        // A successor reads the chain in the order of its keys, and closes it in that of its links.
+        world.kill(world.leader());
+        world.withdraw(someNode(), uid(1));
+        world.seconds(5);
+        assertThat(world.stage(someNode(), uid(300))).isEqualTo("withdrawn");
+        world.seconds(25);
+        assertThat(world.state().keysUnder("withdraw/")).hasSize(300);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards a step that thousands await: each of them costs its own links and no more. */
+    @Test
+    void manyFollowersOfOneJobAreAllReleasedByItsEnd() {
+        world.submit(0, World.job(uid(1), 1));
+        world.untilStarted(1, 90 * SECOND);
+        for (int job = 2; job <= 400; job++) {
+            world.submitMeanwhile(job % 3, World.job(uid(job), 1, uid(1)));
+            world.seconds(0.06);
+        }
+        world.seconds(10);
+        assertThat(world.state().keysUnder("run/")).hasSize(1);
+        world.cloud().machines().values().forEach(worker -> worker.runMicros(SECOND / 2));
+        world.seconds(160);
+        int done = 0;
+        for (int job = 2; job <= 400; job++) {
+            done += world.told(uid(job)) != null && world.stage(job % 3, uid(job)).equals("done") ? 1 : 0;
+        }
+        assertThat(done).isGreaterThan(380);
+        assertThat(world.broken()).isEmpty();
+    }
+
+    /** Guards writes against limits that fall without notice: nothing is larger than they will be, and 429 only slows. */
+    @Test
+    void limitsThatFallInTheMiddleLoseNothing() {
+        for (int job = 1; job <= 30; job++) {
+            world.submitMeanwhile(job % 3, job % 3 == 1 ? World.job(uid(job), 6) : World.job(uid(job), 6, uid(job - 1)));
+            world.seconds(0.4);
+            if (job == 14) {
+                world.state().limits(6, 2 * 1024, 15);
+            }
+        }
+        world.seconds(200);
+        for (int job = 1; job <= 30; job++) {
+            everyNodeSays(uid(job), "done");
+        }
+        assertThat(world.state().refusedForSize()).isZero();
+        assertThat(world.broken()).isEmpty();
+    }
+}
