Beside the version in production: samples of what it stored and said, and rentals that are cut to what a value may hold

Done sets that it cut by larger values are rewritten in parts, rentals that it stored larger in hires of their own, stored first. Stories for limits that fall below the announced ones, and for a rate that falls to a quarter.

--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -94,10 +94,21 @@
 
     /** Takes over a stored hire; its machines may run tasks of an earlier holder until the bound. */
     public void inherit(Hire hire, long aliveUntilMicros) {
+        int most = Hire.mostMachines(settings.state().valueBytes());
+        if (hire.machines().size() > most) {
+            hire.split(most, writer::enqueue).forEach(part -> {
+                inherit(part, aliveUntilMicros);
+                writer.enqueue(part);
+            });
+        }
         hires.put(hire.name(), hire);
-        for (String name : hire.machines()) {
+        for (String name : List.copyOf(hire.machines())) {
             MachineType type = types.get().get(hire.build());
-            if (type != null && cluster.machine(name) == null) {
+            if (cluster.machine(name) != null) {
+                // Cut off from another hire that was not written again: one of them is enough.
+                hire.gone(name);
+                writer.enqueue(hire);
+            } else if (type != null) {
                 Machine machine = new Machine(name, type, hire.yard(), hire.spot(), hire, loop.nowMicros(),
                         cluster.book());
                 machine.aliveUntil(aliveUntilMicros);
@@ -407,8 +418,8 @@
             wishes = capacity.wishes(types.get().values(), pending, now, loop.wallMicros());
         }
         for (Wish wish : wishes) {
-            Hire hire = new Hire("r-" + term + "-" + ++names, wish.type().name(), wish.yard(), wish.spot(),
-                    wish.count());
+            int count = Math.min(wish.count(), Hire.mostMachines(settings.state().valueBytes()));
+            Hire hire = new Hire("r-" + term + "-" + ++names, wish.type().name(), wish.yard(), wish.spot(), count);
             hires.put(hire.name(), hire);
             hire.onStored(() -> ask(hire));
             writer.enqueue(hire);
--- a/src/main/java/io/sillreel/fleet/Hire.java
+++ b/src/main/java/io/sillreel/fleet/Hire.java
@@ -5,10 +5,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sillreel.http.Json;
 import io.sillreel.statestore.KeyWriter;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * A rental under its unique name: stored before the cloud is asked, and again with its machines before any of them gets a
@@ -16,6 +19,8 @@
  */
 public final class Hire implements KeyWriter.Item {
     public static final String PREFIX = "hire/";
+    private static final int MACHINE_BYTES = 40;
+    private static final int REST_BYTES = 300;
 
     private final String name;
     private final String build;
@@ -26,6 +31,7 @@
     private final Set<String> storedMachines = new LinkedHashSet<>();
     private final Set<String> sentMachines = new LinkedHashSet<>();
     private final Set<String> up = new LinkedHashSet<>();
+    private final List<Hire> splitOff = new ArrayList<>();
     private Runnable onStored = () -> { };
     private long stamp;
     private boolean answered;
@@ -58,6 +64,36 @@
         return hire;
     }
 
+    /** How many machines fit into a value of that size, each of them named twice. */
+    public static int mostMachines(int valueBytes) {
+        return Math.max(1, (valueBytes - REST_BYTES) / MACHINE_BYTES);
+    }
+
+    /**
+     * Cuts off what is beyond so many machines, into hires of their own that are stored before this one is written again:
+     * it may have been stored when values could be larger.
+     */
+    public List<Hire> split(int most, Consumer<Hire> enqueue) {
+        List<String> all = new ArrayList<>(machines);
+        for (int from = most; from < all.size(); from += most) {
+            List<String> part = all.subList(from, Math.min(all.size(), from + most));
+            Hire hire = new Hire(name + "." + from / most, build, yard, spot, part.size());
+            hire.answered(part);
+            part.stream().filter(up::remove).forEach(hire.up::add);
+            part.stream().filter(storedMachines::remove).forEach(hire.storedMachines::add);
+            part.forEach(machines::remove);
+            hire.onStored(() -> enqueue.accept(this));
+            splitOff.add(hire);
+        }
+        return List.copyOf(splitOff);
+    }
+
+    @Override
+    public List<KeyWriter.Item> first() {
+        splitOff.removeIf(hire -> hire.stamp > 0 || hire.dropped);
+        return List.copyOf(splitOff);
+    }
+
     public String name() {
         return name;
     }
--- a/src/main/java/io/sillreel/statestore/Pacer.java
+++ b/src/main/java/io/sillreel/statestore/Pacer.java
@@ -8,8 +8,8 @@
  * slowly.
  */
 public final class Pacer {
-    private static final double SHRINK = 0.75;
-    private static final double LEAST_PART = 0.1;
+    private static final double SHRINK = 0.6;
+    private static final double LEAST_PART = 0.05;
     private static final double REGAINED_PER_SECOND = 0.02;
     /** What is refused within so long is refused for the same reason. */
     private static final long SAME_MICROS = 300_000;
--- /dev/null
+++ b/src/test/java/io/sillreel/VersionsTest.java
@@ -0,0 +1,273 @@
+package io.sillreel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.sillreel.fleet.Hire;
+import io.sillreel.http.Json;
+import io.sillreel.http.Reply;
+import io.sillreel.peer.PeerMessages;
+import io.sillreel.peer.PeerMessages.Hello;
+import io.sillreel.pipeline.ActiveJob;
+import io.sillreel.pipeline.JobSpec;
+import io.sillreel.pipeline.Rank;
+import io.sillreel.pipeline.RetrySchedule;
+import io.sillreel.pipeline.RunRecord;
+import io.sillreel.pipeline.RunRecord.Head;
+import io.sillreel.sim.SimNetwork;
+import io.sillreel.sim.SimState;
+import io.sillreel.sim.SimTime;
+import io.sillreel.sim.World;
+import io.sillreel.statestore.KeyWriter;
+import io.sillreel.statestore.Pacer;
+import io.sillreel.statestore.StateStore;
+import io.sillreel.statestore.StateStore.Outcome;
+import io.sillreel.statestore.StateStore.Txn;
+import io.sillreel.workers.Orders;
+import io.sillreel.workers.Report;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Beside the version in production (5806758) and on what it stored. The samples were made by running that version; what is
+ * written for jobs that it could be asked for is the same to the letter, so its rules for reading hold.
+ */
+class VersionsTest {
+    private static final String PLAN = "{\"at_us\":1700000123456789,\"job\":{\"uid\":\"job-000412\",\"lot\":\"train\","
+            + "\"crew\":\"vision\",\"rank\":\"high\",\"pieces\":16,\"vcpus\":8.0,\"cards\":1.0,\"ram_gb\":64.0,"
+            + "\"reel\":\"img-07\",\"image_gb\":6.2,\"yard\":\"a\",\"one_zone\":true,\"spread\":false,\"loaners\":true,"
+            + "\"guess_us\":240000000,\"mark_us\":30000000,\"stash_us\":4000000,\"due_us\":900000000,"
+            + "\"builds\":[\"g8\",\"c4\"]}}";
+    private static final String RUNNING = "{\"pieces\":16,\"done\":3,\"running\":1,\"stage\":\"running\",\"bits\":\"CYA=\"}";
+    private static final String DONE = "{\"pieces\":2,\"done\":2,\"running\":0,\"stage\":\"done\"}";
+    private static final String FAILED = "{\"pieces\":2,\"done\":0,\"running\":0,\"stage\":\"queued\",\"attempts\":1,"
+            + "\"next_us\":1700000123456791,\"reason\":\"attempt 1 failed: its tasks failed on host-000001 and host-000002\","
+            + "\"bits\":\"\"}";
+    /** Pieces 0, 191, 192 and 399 of 400 are done; that version put 192 into a value of 64 bytes. */
+    private static final Map<String, String> CHUNKED = Map.of(
+            "run/job-000413", "{\"pieces\":400,\"done\":4,\"running\":0,\"stage\":\"queued\"}",
+            "run/job-000413/0", "{\"bits\":\"AQAAAAAAAAAAAAAAAAAAAAAAAAAAAACA\"}",
+            "run/job-000413/1", "{\"bits\":\"AQ==\"}", "run/job-000413/2", "{\"bits\":\"AIA=\"}");
+    private static final String HIRE = "{\"build\":\"g8\",\"yard\":\"a\",\"spot\":true,\"count\":12,"
+            + "\"machines\":[\"host-000231\",\"host-000232\"],\"up\":[\"host-000231\"]}";
+    private static final String HELLO = "8768686f707065722d3168686f707065722d301829f51861f503";
+    private static final String HELLO_WITHOUT_LEADER = "8768686f707065722d31f600f400f400";
+    private static final String BEATS = "818a6b686f73742d3030303233316f31302e312e302e3233323a393030306267386161f50118581829"
+            + "2082856a6a6f622d303030343132031b00000029000000020160856a6a6f622d30303033393800010364646f6e65";
+    private static final String ANSWERS = "828318c858487b226261746f6e223a34312c226f7264657273223a5b7b2276657262223a226c61"
+            + "756e6368222c227069656365223a226a6f622d3030303431322f34222c22747279223a377d5d7d00831901f758237b226572726f7222"
+            + "3a2261206e65776572207265706f727420776173207365656e227d01";
+    private static final String WITHDRAWN = "816a6a6f622d303030343132";
+
+    private final SimTime time = new SimTime();
+
+    private static JobSpec spec(String uid, int pieces) {
+        return new JobSpec(uid, "train", "vision", Rank.HIGH, pieces, 8.0, 1.0, 64.0, "img-07", 6.2,
+                List.of("g8", "c4"), "a", true, false, true, 240_000_000L, 30_000_000L, 4_000_000L, 900_000_000L, List.of());
+    }
+
+    private static JsonNode json(String text) {
+        return Json.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static byte[] bytes(String hex) {
+        return HexFormat.of().parseHex(hex);
+    }
+
+    private static final class Quiet implements ActiveJob.Watcher {
+        @Override
+        public void recordStored(ActiveJob job) {
+        }
+
+        @Override
+        public void foundWithdrawn(ActiveJob job) {
+        }
+
+        @Override
+        public void toWrite(List<? extends KeyWriter.Item> items) {
+        }
+    }
+
+    private static ActiveJob job(int pieces) {
+        return new ActiveJob(spec("job-000412", pieces), 7, 0, 2_048, new Quiet());
+    }
+
+    @Test
+    void whatItStoredIsRead() {
+        assertThat(JobSpec.ofPlan(json(PLAN).path("job"))).isEqualTo(spec("job-000412", 16));
+        ActiveJob job = job(16);
+        job.inherit(9, Head.of(json(RUNNING)), RunRecord.Pieces.NONE);
+        assertThat(job.doneCount()).isEqualTo(3);
+        assertThat(job.isStored(15)).isTrue();
+        assertThat(job.awaitsOthers()).isFalse();
+        assertThat(Head.of(json(DONE)).isDone()).isTrue();
+        assertThat(Head.of(json(FAILED)).reason()).startsWith("attempt 1 failed");
+        Hire hire = Hire.of("hire/r-5-12", json(HIRE), 9);
+        assertThat(hire.machines()).containsExactly("host-000231", "host-000232");
+        assertThat(hire.mayHold("host-000231")).isTrue();
+        assertThat(hire.mayHold("host-000232")).isFalse();
+    }
+
+    /** Guards its readers: nothing is added or ordered otherwise in what they take up. */
+    @Test
+    void whatItReadsIsWrittenAsItWroteIt() {
+        var plan = Json.object().put("at_us", 1_700_000_123_456_789L);
+        plan.set("job", spec("job-000412", 16).json());
+        assertThat(plan.toString()).isEqualTo(PLAN);
+        ActiveJob job = job(16);
+        List.of(0, 3, 15).forEach(job::settle);
+        job.seat(4);
+        assertThat(job.changes().get("run/job-000412").toString()).isEqualTo(RUNNING);
+        ActiveJob done = job(2);
+        List.of(0, 1).forEach(done::settle);
+        assertThat(done.changes().get("run/job-000412").toString()).isEqualTo(DONE);
+        ActiveJob failed = job(2);
+        failed.failAttempt(new RetrySchedule(2, 10, 60), 1_700_000_123_456_789L,
+                "its tasks failed on host-000001 and host-000002");
+        assertThat(failed.changes().get("run/job-000412").toString()).isEqualTo(FAILED);
+        Hire hire = new Hire("r-5-12", "g8", "a", true, 12);
+        hire.answered(List.of("host-000231", "host-000232"));
+        hire.cameUp("host-000231");
+        assertThat(hire.changes().get("hire/r-5-12").toString()).isEqualTo(HIRE);
+    }
+
+    @Test
+    void whatIsSaidBetweenControllersIsTheSame() {
+        Hello hello = new Hello("hopper-1", "hopper-0", 41, true, 97, true, 3);
+        assertThat(Hello.of(bytes(HELLO))).isEqualTo(hello);
+        assertThat(hello.bytes()).isEqualTo(bytes(HELLO));
+        assertThat(Hello.of(bytes(HELLO_WITHOUT_LEADER)).leader()).isNull();
+        Report report = new Report("host-000231", "10.1.0.232:9000", "g8", "a", true, 1, 88, 41, -1, List.of(
+                new Report.PieceState("job-000412", 3, 2L + (41L << 32), Report.Stage.RUNNING, ""),
+                new Report.PieceState("job-000398", 0, 1, Report.Stage.ENDED, "done")));
+        assertThat(PeerMessages.reports(bytes(BEATS))).containsExactly(report);
+        assertThat(PeerMessages.beats(List.of(report)).body()).isEqualTo(bytes(BEATS));
+        Orders orders = new Orders();
+        orders.launch("job-000412", 4, 7);
+        List<Reply> replies = List.of(orders.reply(41), Reply.later(503, "a newer report was seen", 1));
+        assertThat(PeerMessages.answers(replies)).isEqualTo(bytes(ANSWERS));
+        assertThat(PeerMessages.replies(bytes(ANSWERS))).hasSize(2);
+        assertThat(PeerMessages.withdrawn("job-000412").body()).isEqualTo(bytes(WITHDRAWN));
+        assertThat(PeerMessages.withdrawn(bytes(WITHDRAWN))).containsExactly("job-000412");
+    }
+
+    /** Guards its takeover: it takes whatever follows a slash under run/ for a number, and lists no other prefix. */
+    @Test
+    void itsListsHoldOnlyWhatItKnows() {
+        World world = new World(41);
+        world.seconds(2);
+        for (int job = 1; job <= 6; job++) {
+            world.submit(job % 3, World.job("job-%06d".formatted(job), 5));
+        }
+        world.withdraw(0, "job-000003");
+        world.seconds(20);
+        assertThat(world.state().keysUnder("")).allMatch(key -> key.matches(
+                "plan/job-[0-9]+|run/job-[0-9]+(/[0-9]+)?|withdraw/job-[0-9]+|hire/[a-z0-9.-]+|term|leader|flavors"));
+        for (String key : world.state().keysUnder("run/")) {
+            assertThat(world.state().value(key).path("bits").isTextual() || world.state().value(key).path("stage").asText()
+                    .equals("done")).as(key).isTrue();
+        }
+    }
+
+    /** Guards a done set that it cut by larger values: read by its rule, written in smaller parts, nothing left behind. */
+    @Test
+    void whatItCutLargerIsRewrittenInSmallerParts() {
+        SimState state = new SimState(time, 20, 8 * 1024, 1_000);
+        SimNetwork network = new SimNetwork(time, 1);
+        network.listen("state:1", state);
+        SimTime.Process process = time.new Process();
+        StateStore store = new StateStore(network.from("node", process), network.from("node", process), process, "state:1",
+                new Pacer(process, 1_000, 1_000), new Pacer(process, 1_000, 1_000));
+        Txn txn = new Txn().set("leader", Json.object());
+        CHUNKED.forEach((key, value) -> txn.set(key, json(value)));
+        store.commit(txn);
+        time.runFor(100_000);
+        state.limits(2, 160, 1_000);
+
+        KeyWriter[] writer = new KeyWriter[1];
+        ActiveJob.Watcher watcher = new ActiveJob.Watcher() {
+            @Override
+            public void recordStored(ActiveJob job) {
+            }
+
+            @Override
+            public void foundWithdrawn(ActiveJob job) {
+            }
+
+            @Override
+            public void toWrite(List<? extends KeyWriter.Item> items) {
+                items.forEach(writer[0]::enqueue);
+            }
+        };
+        writer[0] = new KeyWriter(store, process, "leader", 101, 2, () -> { });
+        JobSpec spec = spec("job-000413", 400);
+        ActiveJob job = new ActiveJob(spec, 7, 0, 32, watcher);
+        Map<String, String> values = new HashMap<>();
+        Map<String, Long> stamps = new HashMap<>();
+        CHUNKED.forEach((key, value) -> {
+            if (key.lastIndexOf('/') > 4) {
+                values.put(key, json(value).path("bits").asText());
+                stamps.put(key, 101L);
+            }
+        });
+        RunRecord.Pieces stored = new RunRecord.Pieces(values, stamps, RunRecord.chunkPieces(64));
+        job.inherit(101, Head.of(json(CHUNKED.get("run/job-000413"))), stored);
+        assertThat(List.of(0, 191, 192, 399)).allMatch(job::isStored);
+        assertThat(job.doneCount()).isEqualTo(4);
+        job.settle(200);
+        writer[0].enqueue(job);
+        time.runFor(20_000_000);
+        assertThat(job.isStored(200)).isTrue();
+        assertThat(state.keysUnder("run/")).containsExactly("run/job-000413");
+        assertThat(state.refusedForSize()).isZero();
+
+        ActiveJob successor = new ActiveJob(spec, 7, 0, 32, watcher);
+        values.clear();
+        state.keysUnder("bits/").forEach(key -> values.put(key, state.value(key).path("bits").asText()));
+        successor.inherit(102, Head.of(state.value("run/job-000413")), new RunRecord.Pieces(values, new HashMap<>(), 0));
+        assertThat(successor.doneCount()).isEqualTo(5);
+        assertThat(List.of(0, 191, 192, 200, 399)).allMatch(successor::isDone);
+
+        for (int piece = 0; piece < 400; piece++) {
+            job.settle(piece);
+        }
+        writer[0].enqueue(job);
+        time.runFor(30_000_000);
+        assertThat(job.doneStored()).isTrue();
+        assertThat(state.keysUnder("bits/")).isEmpty();
+        // A write that its last holder gave up on comes late, and finds another leader.
+        var late = store.commit(new Txn().require("leader", 77).require("run/job-000413", 101)
+                .set("run/job-000413/0", json(CHUNKED.get("run/job-000413/0"))));
+        time.runFor(100_000);
+        assertThat(late.join().outcome()).isEqualTo(Outcome.CONFLICT);
+    }
+
+    /** Guards a rental that was stored when values could be larger: it is cut before it is written again. */
+    @Test
+    void aRentalThatIsTooLargeIsCutAndNoMachineIsMissingOnTheWay() {
+        StringBuilder names = new StringBuilder();
+        for (int i = 0; i < 50; i++) {
+            names.append(i == 0 ? "" : ",").append("\"host-%06d\"".formatted(i));
+        }
+        JsonNode stored = json("{\"build\":\"c4\",\"yard\":\"a\",\"spot\":true,\"count\":50,\"machines\":[" + names
+                + "],\"up\":[" + names + "]}");
+        Hire hire = Hire.of("hire/r-5-12", stored, 9);
+        int most = Hire.mostMachines(1_024);
+        List<Hire> parts = hire.split(most, again -> { });
+        assertThat(hire.first()).hasSameSizeAs(parts);
+        int machines = hire.machines().size();
+        for (Hire part : parts) {
+            assertThat(part.machines()).allMatch(part::mayHold);
+            assertThat(part.changes().get(part.key()).toString().length()).isLessThan(1_024);
+            machines += part.machines().size();
+            part.stored(10);
+        }
+        assertThat(machines).isEqualTo(50);
+        assertThat(hire.first()).isEmpty();
+        assertThat(hire.changes().get(hire.key()).toString().length()).isLessThan(1_024);
+    }
+}
--- a/src/test/java/io/sillreel/settings/SettingsTest.java
+++ b/src/test/java/io/sillreel/settings/SettingsTest.java
@@ -77,6 +77,24 @@
                 .isEqualTo(0.01);
     }
 
+    /** What is written fits the present limits and the announced ones; without a table only the present ones count. */
+    @Test
+    void theSmallerOfPresentAndAnnouncedLimitsCounts() {
+        assertThat(SettingsReader.parse(GOOD).state().txnOps()).isEqualTo(20);
+        String announced = GOOD.replace("[params.cloud]", "[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 30\n[params.cloud]");
+        Settings.StateLimits limits = SettingsReader.parse(announced).state();
+        assertThat(limits.valueBytes()).isEqualTo(2_048);
+        assertThat(limits.storedValueBytes()).isEqualTo(8_192);
+        assertThat(limits.txnOps()).isEqualTo(20);
+        assertThat(limits.writesPerSecond()).isEqualTo(25.0);
+        assertThatThrownBy(() -> SettingsReader.parse(announced.replace("txn_ops = 30", "txn_ops = 1")))
+                .hasMessage("params.state.next.txn_ops: is 1.0, and at least 2.0 is needed");
+        assertThatThrownBy(() -> SettingsReader.parse(announced.replace("value_kb = 2.0", "value_kb = 0.2")))
+                .hasMessageContaining("params.state.next.value_kb");
+        assertThatThrownBy(() -> SettingsReader.parse(announced.replace("value_kb = 2.0", "write_rps = 0.5")))
+                .hasMessageContaining("params.state.next.write_rps");
+    }
+
     @Test
     void operatorsPropertiesKnowTheirKeys() {
         Properties properties = new Properties();
--- a/src/test/java/io/sillreel/sim/SimState.java
+++ b/src/test/java/io/sillreel/sim/SimState.java
@@ -33,6 +33,7 @@
     private double writesLeft;
     private long writesMicros;
     private int refusedForSize;
+    private int refusedForRate;
     private final TreeMap<String, Value> keys = new TreeMap<>();
     private final Map<Long, Long> lives = new TreeMap<>();
     private final Map<Long, Long> ends = new TreeMap<>();
@@ -62,6 +63,10 @@
         return refusedForSize;
     }
 
+    public int refusedForRate() {
+        return refusedForRate;
+    }
+
     /** Takes writes from a bucket that holds one second's worth. */
     private boolean tooFast(int writes) {
         writesLeft = Math.min(writesPerSecond,
@@ -154,6 +159,7 @@
     private CompletableFuture<Reply> txn(JsonNode body) {
         JsonNode then = body.path("then");
         if (tooFast(then.size())) {
+            refusedForRate++;
             return answer(429, Json.object().put("error", "too fast"));
         }
         if (then.size() > txnOps || body.path("if").size() > 4 * txnOps || Json.bytes(body).length > 64 * 1024) {
--- a/src/test/java/io/sillreel/statestore/KeyWriterTest.java
+++ b/src/test/java/io/sillreel/statestore/KeyWriterTest.java
@@ -11,6 +11,8 @@
 import io.sillreel.sim.SimTime;
 import io.sillreel.statestore.StateStore.Outcome;
 import io.sillreel.statestore.StateStore.Txn;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -32,8 +34,51 @@
         writer = new KeyWriter(store, process, "leader", 101, 4, () -> deposed = true);
     }
 
+    /** Guards writes against limits that fall below what was announced: none is sent again as it was, none blocks the rest. */
+    @Test
+    void whatIsTooLargeTogetherGoesAloneAndWhatIsTooLargeAloneHoldsUpNobody() {
+        state.limits(1, 40, 1_000);
+        Count small = new Count("a");
+        Count large = new Count("a-key-whose-value-is-not-small");
+        large.padding = "x".repeat(100);
+        Count last = new Count("b");
+        List.of(small, large, last).forEach(writer::enqueue);
+        time.runFor(3_000_000);
+        assertThat(small.stamp).isPositive();
+        assertThat(last.stamp).isPositive();
+        assertThat(large.stamp).isZero();
+        int refused = state.refusedForSize();
+        time.runFor(10_000_000);
+        assertThat(state.refusedForSize()).isEqualTo(refused);
+        large.padding = "";
+        writer.enqueue(large);
+        time.runFor(1_000_000);
+        assertThat(large.stamp).isPositive();
+    }
+
+    /** Guards against a rate that falls: what is refused slows the writer, within a second, and is no failure of anything. */
+    @Test
+    void refusalsForTheRateSlowWritingAndLoseNothing() {
+        // A quarter of what this controller takes for its part.
+        StateStore paced = new StateStore(network.from("node", process), network.from("node", process), process, "state:1",
+                new Pacer(process, 1_000, 1_000), new Pacer(process, 40, 40));
+        KeyWriter writer = new KeyWriter(paced, process, "leader", 101, 4, () -> deposed = true);
+        state.limits(4, 8192, 10);
+        List<Count> counts = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            counts.add(new Count("k%02d".formatted(i)));
+            writer.enqueue(counts.get(i));
+        }
+        time.runFor(1_500_000);
+        int refusedSoon = state.refusedForRate();
+        time.runFor(10_000_000);
+        assertThat(counts).allMatch(count -> count.stamp > 0);
+        assertThat(state.refusedForRate() - refusedSoon).as("refused once the writer had slowed").isLessThan(25);
+    }
+
     private static final class Count implements KeyWriter.Item {
         private final String key;
+        private String padding = "";
         private int value;
         private int sent;
         private int stored;
@@ -62,7 +107,7 @@
         @Override
         public Map<String, JsonNode> changes() {
             sent = value;
-            return Map.of(key, Json.object().put("n", value));
+            return Map.of(key, Json.object().put("n", value).put("p", padding));
         }
 
         @Override
