Jobs that may use no spot machine get ordinary ones

Cause: spot machines are cheaper, so all that was missing was rented as such, and a job without any of its own counted as provided for as long as one ordinary machine existed, however busy. What waits for ordinary machines beyond their free room, and what of it arrives on the long run, is now rented for, and the latter is kept.

--- a/src/main/java/io/sillreel/fleet/FleetKeeper.java
+++ b/src/main/java/io/sillreel/fleet/FleetKeeper.java
@@ -404,18 +404,21 @@
         List<Wish> wishes;
         synchronized (cluster) {
             long pending = 0;
+            long pendingOrdinary = 0;
             int open = 0;
             for (Hire hire : hires.values()) {
                 if (!hire.answered()) {
                     MachineType type = types.get().get(hire.build());
-                    pending += type == null ? 0 : Math.round(type.cpus() * hire.count());
+                    long cpus = type == null ? 0 : Math.round(type.cpus() * hire.count());
+                    pending += cpus;
+                    pendingOrdinary += hire.spot() ? 0 : cpus;
                     open++;
                 }
             }
             if (open >= HIRES_AT_ONCE) {
                 return;
             }
-            wishes = capacity.wishes(types.get().values(), pending, now, loop.wallMicros());
+            wishes = capacity.wishes(types.get().values(), pending, pendingOrdinary, now, loop.wallMicros());
         }
         for (Wish wish : wishes) {
             int count = Math.min(wish.count(), Hire.mostMachines(settings.state().valueBytes()));
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -38,6 +38,8 @@
     private final Estimates estimates;
     private final Map<String, Long> fullUntil = new HashMap<>();
     private final Map<Rank, Demand> demand = new EnumMap<>(Rank.class);
+    /** What arrives for ordinary machines alone; it is part of the demand of its rank as well. */
+    private final Demand ordinaryDemand = new Demand();
     private long shortSinceMicros = -1;
 
     public CapacityPlanner(Cluster cluster, Deadlines deadlines, Estimates estimates) {
@@ -57,8 +59,11 @@
 
     /** Told once for every job when it is ready, so that the standing demand is known; a successor learns it from the stored plans. */
     public void arrived(JobSpec spec, long readyWallMicros) {
-        demand.computeIfAbsent(spec.rank(), rank -> new Demand())
-                .arrived(readyWallMicros, spec.pieces() * spec.cpus() * estimates.occupiedMicros(spec));
+        double cpuMicros = spec.pieces() * spec.cpus() * estimates.occupiedMicros(spec);
+        demand.computeIfAbsent(spec.rank(), rank -> new Demand()).arrived(readyWallMicros, cpuMicros);
+        if (!spec.spot()) {
+            ordinaryDemand.arrived(readyWallMicros, cpuMicros);
+        }
     }
 
     /** Work of a rank that is to be done within a time, and the processors that arriving work of higher ranks takes. */
@@ -139,8 +144,13 @@
         return lasting ? all : missingCpus(have, bootMicros, true, wallMicros);
     }
 
-    /** Rentals to ask for now, at most a few. */
-    public List<Wish> wishes(Collection<MachineType> types, long hiringCpus, long nowMicros, long wallMicros) {
+    /**
+     * Rentals to ask for now, at most a few.
+     *
+     * @param hiringCpus processors that the cloud has been asked for, and of those the ones of ordinary machines
+     */
+    public List<Wish> wishes(Collection<MachineType> types, long hiringCpus, long hiringOrdinaryCpus, long nowMicros,
+            long wallMicros) {
         double have = hiringCpus;
         for (Machine machine : cluster.machines()) {
             if (counts(machine, nowMicros)) {
@@ -151,10 +161,12 @@
         double urgent = urgentCpus(have, boot, nowMicros, wallMicros);
         double standing = standingCpus(wallMicros) - have;
         List<Wish> wishes = new ArrayList<>();
-        double missing = Math.max(urgent, standing);
+        double ordinary = confined(types, hiringOrdinaryCpus, nowMicros, wallMicros, wishes);
+        urgent -= ordinary;
+        double missing = Math.max(urgent, standing - ordinary);
         while (missing > SMALLEST_MISSING && wishes.size() < 3) {
             // Ordinary machines cost a multiple: they are for work that would be late, not for the standing demand.
-            Wish wish = cheapest(types, missing, null, urgent > SMALLEST_MISSING, wishes, nowMicros);
+            Wish wish = cheapest(types, missing, null, urgent > SMALLEST_MISSING, true, wishes, nowMicros);
             if (wish == null) {
                 break;
             }
@@ -168,6 +180,44 @@
         return wishes;
     }
 
+    /**
+     * Ordinary machines for work that may use no other: with spot machines as cheap as they are, nobody else rents them, and
+     * a job's few tasks would wait for minutes beside a fleet that is idle.
+     *
+     * @return the processors that were added to the wishes
+     */
+    private double confined(Collection<MachineType> types, long hiringOrdinaryCpus, long nowMicros, long wallMicros,
+            List<Wish> wishes) {
+        double free = hiringOrdinaryCpus;
+        double have = hiringOrdinaryCpus;
+        for (Machine machine : cluster.machines()) {
+            if (!machine.spot() && counts(machine, nowMicros)) {
+                have += machine.type().cpus();
+                free += machine.state() == Machine.State.UP ? Math.max(0, machine.freeCpus()) : machine.type().cpus();
+            }
+        }
+        double waiting = 0;
+        JobSpec largest = null;
+        for (ActiveJob job : cluster.jobs()) {
+            if (!job.spec().spot() && job.waitingCount() > 0 && cluster.launchable(job, wallMicros)) {
+                waiting += job.waitingCount() * job.spec().cpus();
+                if (largest == null || job.spec().cpus() > largest.cpus()) {
+                    largest = job.spec();
+                }
+            }
+        }
+        double missing = Math.max(waiting - free, ordinaryDemand.cpus(wallMicros) - have);
+        if (missing <= SMALLEST_MISSING) {
+            return 0;
+        }
+        Wish wish = cheapest(types, missing, largest, true, false, wishes, nowMicros);
+        if (wish == null) {
+            return 0;
+        }
+        wishes.add(wish);
+        return wish.count() * wish.type().cpus();
+    }
+
     /** Waiting jobs that no machine of the fleet could ever take get one that can. */
     private void stranded(Collection<MachineType> types, long nowMicros, long wallMicros, List<Wish> wishes) {
         for (ActiveJob job : cluster.jobs()) {
@@ -178,7 +228,7 @@
                     && Cluster.allows(job.spec(), machine) && !job.failedOn().contains(machine.name())
                     && fitsEmpty(job.spec(), machine.type()));
             if (!hosted) {
-                Wish wish = cheapest(types, job.spec().cpus(), job.spec(), true, wishes, nowMicros);
+                Wish wish = cheapest(types, job.spec().cpus(), job.spec(), true, true, wishes, nowMicros);
                 if (wish != null) {
                     wishes.add(wish);
                     return;
@@ -207,8 +257,8 @@
     }
 
     private Wish cheapest(Collection<MachineType> types, double missing, JobSpec only, boolean ordinaryToo,
-            List<Wish> already, long nowMicros) {
-        boolean anySpot = only == null || only.spot();
+            boolean spotToo, List<Wish> already, long nowMicros) {
+        boolean anySpot = spotToo && (only == null || only.spot());
         Wish best = null;
         double bestCost = Double.MAX_VALUE;
         for (MachineType type : types) {
@@ -279,13 +329,20 @@
         }
         double needed = Math.max(busyCpus(), standingCpus(wallMicros));
         double spare = have - Math.max(wantedCpus(wallMicros), needed);
+        double ordinarySpare = -ordinaryDemand.cpus(wallMicros);
+        for (Machine machine : cluster.machines()) {
+            ordinarySpare += !machine.spot() && machine.state() == Machine.State.UP ? machine.type().cpus() : 0;
+        }
         candidates.sort(Comparator.<Machine>comparingDouble(machine ->
                         -machine.type().priceOf(machine.spot()) / machine.type().cpus())
                 .thenComparingInt(Machine::liveCount));
         List<Machine> surplus = new ArrayList<>();
         for (Machine machine : candidates) {
-            if (machine.type().cpus() <= spare + 0.01) {
+            boolean kept = !machine.spot() && ordinaryDemand.cpus(wallMicros) > 0
+                    && machine.type().cpus() > ordinarySpare + 0.01;
+            if (machine.type().cpus() <= spare + 0.01 && !kept) {
                 surplus.add(machine);
+                ordinarySpare -= machine.spot() ? 0 : machine.type().cpus();
                 spare -= machine.type().cpus();
             }
         }
--- a/src/test/java/io/sillreel/fleet/RentalStoriesTest.java
+++ b/src/test/java/io/sillreel/fleet/RentalStoriesTest.java
@@ -5,6 +5,7 @@
 import io.sillreel.http.Call;
 import io.sillreel.sim.SimNetwork.Fate;
 import io.sillreel.sim.SimNetwork.Rule;
+import io.sillreel.sim.SimWorker;
 import io.sillreel.sim.World;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -113,4 +114,24 @@
         assertThat(world.cloud().machines().size()).isGreaterThan(rented);
         assertThat(world.broken()).isEmpty();
     }
+
+    /**
+     * Guards jobs that may not use spot machines: one ordinary machine, however busy, counted as room for them, and a few
+     * tasks waited for minutes.
+     */
+    @Test
+    void whatMayUseNoSpotMachineGetsAnOrdinaryOne() {
+        world.seconds(2);
+        world.submit(0, World.job("job-000001", 4).put("loaners", false));
+        world.untilStarted(4, 200_000_000);
+        world.cloud().machines().values().forEach(worker -> worker.runMicros(3_000_000));
+        for (int job = 2; job <= 20; job++) {
+            world.submit(job % 3, World.job("job-%06d".formatted(job), 4));
+        }
+        world.submit(0, World.job("job-000099", 2).put("loaners", false));
+        world.seconds(30);
+        assertThat(world.stage(0, "job-000099")).isEqualTo("done");
+        assertThat(world.cloud().machines().values()).anyMatch(SimWorker::spot);
+        assertThat(world.broken()).isEmpty();
+    }
 }
--- a/src/test/java/io/sillreel/sim/SimCloud.java
+++ b/src/test/java/io/sillreel/sim/SimCloud.java
@@ -82,7 +82,7 @@
         if (names == null) {
             names = Json.array();
             for (int i = 0; i < body.path("count").asInt() && machines.size() + booting.size() < CAPACITY; i++) {
-                names.add(boot(body.path("build").asText(), body.path("yard").asText()));
+                names.add(boot(body.path("build").asText(), body.path("yard").asText(), body.path("loaners").asBoolean()));
             }
             if (names.isEmpty()) {
                 return Reply.refusal(503, "no capacity");
@@ -94,12 +94,12 @@
         return Reply.of(200, answer);
     }
 
-    private String boot(String build, String yard) {
+    private String boot(String build, String yard, boolean spot) {
         String name = "host-%06d".formatted(created++);
         booting.put(name, build);
         world.time().after(bootMicros, () -> {
             if (booting.remove(name) != null) {
-                machines.put(name, new SimWorker(world, name, build, yard, created % world.nodes()));
+                machines.put(name, new SimWorker(world, name, build, yard, spot, created % world.nodes()));
             }
         });
         return name;
@@ -118,7 +118,7 @@
         ArrayNode hoppers = body.putArray("hoppers");
         for (SimWorker worker : machines.values()) {
             hoppers.addObject().put("uid", worker.name()).put("addr", worker.address()).put("build", worker.build())
-                    .put("yard", worker.yard()).put("loaners", true).put("stage", "running").put("age_s", 1.0);
+                    .put("yard", worker.yard()).put("loaners", worker.spot()).put("stage", "running").put("age_s", 1.0);
         }
         return Reply.of(200, body);
     }
--- a/src/test/java/io/sillreel/sim/SimWorker.java
+++ b/src/test/java/io/sillreel/sim/SimWorker.java
@@ -40,6 +40,7 @@
     private final String name;
     private final String build;
     private final String yard;
+    private final boolean spot;
     private final SimTime.Process process;
     private final Caller caller;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
@@ -55,11 +56,12 @@
     private long runMicros = 3_000_000;
     private long recallAtMicros = -1;
 
-    SimWorker(World world, String name, String build, String yard, int firstNode) {
+    SimWorker(World world, String name, String build, String yard, boolean spot, int firstNode) {
         this.world = world;
         this.name = name;
         this.build = build;
         this.yard = yard;
+        this.spot = spot;
         this.node = firstNode;
         this.process = world.time().new Process();
         this.caller = world.network().from(name, process);
@@ -81,6 +83,10 @@
         return yard;
     }
 
+    public boolean spot() {
+        return spot;
+    }
+
     String address() {
         return name + ":9000";
     }
@@ -273,7 +279,7 @@
 
     private ObjectNode body() {
         ObjectNode body = Json.object().put("hopper", name).put("addr", address()).put("build", build)
-                .put("yard", yard).put("loaners", true).put("shift", shift).put("tally", tally).put("baton", baton);
+                .put("yard", yard).put("loaners", spot).put("shift", shift).put("tally", tally).put("baton", baton);
         if (recallAtMicros >= 0) {
             body.put("recall_s", (recallAtMicros - world.time().nowMicros()) / 1_000_000.0);
         }
