--- /dev/null
+++ b/src/test/java/io/sillreel/placement/PriorityInheritanceTest.java
@@ -0,0 +1,145 @@
+package io.sillreel.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sillreel.pipeline.ActiveJob;
+import io.sillreel.pipeline.Chains;
+import io.sillreel.pipeline.JobSpec;
+import io.sillreel.pipeline.Rank;
+import io.sillreel.settings.Settings.Team;
+import io.sillreel.statestore.KeyWriter;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PriorityInheritanceTest {
+    private static final long SECOND = 1_000_000;
+    private static final long NOW = 1_000 * SECOND;
+
+    private final Set<String> withdrawn = new HashSet<>();
+    private final List<String> ready = new ArrayList<>();
+    private final List<String> closed = new ArrayList<>();
+    private final List<String> lookedUp = new ArrayList<>();
+    private final Estimates estimates = new Estimates();
+    private final Cluster cluster = new Cluster(Map.of("t", new Team("t", 10, 0, 0, 0)));
+    private final Chains chains = new Chains(new Chains.Office() {
+        @Override
+        public void ready(ActiveJob job) {
+            ready.add(job.uid());
+            job.ready(NOW);
+        }
+
+        @Override
+        public void closed(ActiveJob job, String because) {
+            closed.add(job.uid());
+            withdrawn.add(job.uid());
+            job.withdraw();
+        }
+
+        @Override
+        public void lookUp(String uid) {
+            lookedUp.add(uid);
+        }
+    });
+    private final PriorityInheritance inheritance = new PriorityInheritance(chains, estimates);
+
+    private ActiveJob job(String uid, Rank rank, long dueMicros, String... awaits) {
+        JobSpec spec = new JobSpec(uid, "l", "t", rank, 4, 1, 0, 1, "img", 1, null, null, false, false, true,
+                20 * SECOND, 0, 0, dueMicros, List.of(awaits));
+        return new ActiveJob(spec, 1, NOW, 8_192, new ActiveJob.Watcher() {
+            @Override
+            public void recordStored(ActiveJob job) {
+            }
+
+            @Override
+            public void foundWithdrawn(ActiveJob job) {
+            }
+
+            @Override
+            public void toWrite(List<? extends KeyWriter.Item> items) {
+            }
+        });
+    }
+
+    private ActiveJob joined(String uid, Rank rank, long dueMicros, String... awaits) {
+        ActiveJob job = job(uid, rank, dueMicros, awaits);
+        cluster.add(job);
+        chains.enter(job, withdrawn::contains);
+        inheritance.joined(job);
+        return job;
+    }
+
+    /** The last job of a chain alone says how urgent it is; who joins later counts, and who leaves counts no more. */
+    @Test
+    void theFirstStepIsAsUrgentAsWhatNeedsIt() {
+        ActiveJob first = joined("job-000001", Rank.BEST_EFFORT, -1);
+        ActiveJob second = joined("job-000002", Rank.BEST_EFFORT, -1, "job-000001");
+        assertThat(first.rank()).isEqualTo(Rank.BEST_EFFORT);
+        assertThat(first.endByMicros()).isEqualTo(Long.MAX_VALUE);
+        ActiveJob last = joined("job-000003", Rank.HIGH, 300 * SECOND, "job-000002");
+        assertThat(List.of(first.rank(), second.rank())).containsOnly(Rank.HIGH);
+        assertThat(second.endByMicros()).isEqualTo(NOW + 300 * SECOND - estimates.spanMicros(last));
+        assertThat(first.endByMicros()).isEqualTo(second.endByMicros() - estimates.spanMicros(second));
+        ActiveJob sooner = joined("job-000004", Rank.NORMAL, 60 * SECOND, "job-000001");
+        assertThat(first.endByMicros()).isEqualTo(NOW + 60 * SECOND - estimates.spanMicros(sooner));
+        assertThat(first.rank()).isEqualTo(Rank.HIGH);
+        last.withdraw();
+        inheritance.left(List.of(last));
+        assertThat(second.rank()).isEqualTo(Rank.BEST_EFFORT);
+        assertThat(first.rank()).isEqualTo(Rank.NORMAL);
+        sooner.withdraw();
+        inheritance.left(List.of(sooner));
+        assertThat(first.rank()).isEqualTo(Rank.BEST_EFFORT);
+        assertThat(first.endByMicros()).isEqualTo(Long.MAX_VALUE);
+    }
+
+    /** Guards the guarantee: what awaits others takes no part of it, and leaves it to those behind. */
+    @Test
+    void whatAwaitsOthersTakesNothingOfTheGuarantee() {
+        ActiveJob first = joined("job-000001", Rank.NORMAL, -1);
+        ActiveJob waiting = joined("job-000002", Rank.NORMAL, -1, "job-000001");
+        ActiveJob behind = joined("job-000003", Rank.NORMAL, -1);
+        ActiveJob beyond = joined("job-000004", Rank.NORMAL, -1);
+        Planner planner = new Planner(cluster, SECOND, new Deadlines(List.of(), estimates));
+        assertThat(planner.guaranteed()).contains(first, behind).doesNotContain(waiting, beyond);
+    }
+
+    /** Guards a successor: whatever the order in which it reads, links are those of the whole, and closed in their order. */
+    @Test
+    void linksAreRebuiltWhateverTheOrderOfReading() {
+        ActiveJob third = job("job-000003", Rank.NORMAL, -1, "job-000002", "job-000009");
+        ActiveJob second = job("job-000002", Rank.NORMAL, -1, "job-000001");
+        ActiveJob fourth = job("job-000000", Rank.NORMAL, -1, "job-000003");
+        ActiveJob first = job("job-000001", Rank.NORMAL, -1, "job-000008");
+        chains.begin(List.of(fourth, third, first, second), "job-000008"::equals, uid -> false);
+        assertThat(ready).containsExactly("job-000001");
+        assertThat(lookedUp).containsExactly("job-000009");
+        chains.released(first);
+        chains.done(first);
+        assertThat(ready).containsExactly("job-000001", "job-000002");
+        chains.withdrawn("job-000002");
+        assertThat(closed).containsExactly("job-000003", "job-000000");
+        chains.found("job-000009");
+        assertThat(ready).hasSize(2);
+    }
+
+    /** Guards a plan that is seen before that of a job it awaits, and one whose awaited job ended long ago. */
+    @Test
+    void whatIsAwaitedMayBeSeenLaterOrHaveEndedLongAgo() {
+        joined("job-000002", Rank.NORMAL, -1, "job-000001", "job-000007");
+        assertThat(lookedUp).containsExactly("job-000001", "job-000007");
+        chains.found("job-000007");
+        ActiveJob first = joined("job-000001", Rank.NORMAL, -1);
+        assertThat(chains.asks("job-000001")).isFalse();
+        assertThat(ready).containsExactly("job-000001");
+        chains.released(first);
+        chains.done(first);
+        assertThat(ready).containsExactly("job-000001", "job-000002");
+        withdrawn.add("job-000005");
+        joined("job-000003", Rank.NORMAL, -1, "job-000005");
+        assertThat(closed).containsExactly("job-000003");
+    }
+}
