--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -103,6 +103,12 @@
         this.relay = new ReportRelay(loop, caller, spread::workers);
     }
 
+    /** The version that the build wrote into the jar. */
+    public static String version() {
+        String version = Controller.class.getPackage().getImplementationVersion();
+        return version == null ? "unpackaged" : version;
+    }
+
     /**
      * @param open lets the public in: hundreds of workers that are refused once a second would else take the processor from
      *     the very election that they wait for
@@ -344,6 +350,7 @@
         FunctionCounter.builder("sillreel.requests.refused", users, AdaptiveLimit::refused).register(to);
         Gauge.builder("sillreel.requests.limit", users, AdaptiveLimit::limit).register(to);
         Gauge.builder("sillreel.workers", spread, WorkerSpread::workers).register(to);
+        Gauge.builder("sillreel.version", () -> 1).tag("version", version()).register(to);
         Gauge.builder("sillreel.leads", leadership, Leadership::heldTerm).register(to);
         Gauge.builder("sillreel.late.ms", lateness, each -> each.micros() / 1_000.0).register(to);
         Gauge.builder("sillreel.late.most.ms", lateness, each -> each.mostMicros() / 1_000.0).register(to);
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -66,12 +66,11 @@
     @Option(names = "--rehearse", hidden = true, description = "Starts, talks to itself and ends (used by the build).")
     private boolean rehearse;
 
-    /** The version that the build wrote into the jar. */
+    /** What {@code --version} says. */
     static final class Version implements IVersionProvider {
         @Override
         public String[] getVersion() {
-            String version = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"sillreel " + (version == null ? "(unpackaged)" : version)};
+            return new String[] {"sillreel " + Controller.version()};
         }
     }
 
@@ -126,8 +125,8 @@
 
     /** Starts a controller on one event loop. */
     static EventLoopGroup run(Settings settings, OperatorProperties operator) {
-        LoggerFactory.getLogger(Main.class).info("{} in {} starts, {} UTC", settings.nodeName(), settings.area(),
-                LocalDateTime.now(ZoneOffset.UTC));
+        LoggerFactory.getLogger(Main.class).info("{} in {} starts, version {}, {} UTC", settings.nodeName(),
+                settings.area(), Controller.version(), LocalDateTime.now(ZoneOffset.UTC));
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"),
                 NioIoHandler.newFactory());
         NettyLoop loop = new NettyLoop(group.next());
--- a/src/main/java/io/sillreel/cli/Rehearsal.java
+++ b/src/main/java/io/sillreel/cli/Rehearsal.java
@@ -44,6 +44,10 @@
         ask(self + "/v2/runs", job("job-000001"));
         ask(self + "/v2/runs", job("job-000002"));
         ask(self + "/v2/runs", Json.object().put("uid", "job-000003"));
+        ObjectNode behind = job("job-000004");
+        behind.putArray("awaits").add("job-000001").add("job-000002");
+        ask(self + "/v2/runs", behind);
+        ask(self + "/v2/runs/job-000004", null);
         ask(self + "/v2/runs/job-000002/withdraw", Json.object());
         ObjectNode beat = Json.object().put("hopper", "host-000000").put("addr", "127.0.0.1:1").put("build", "c4")
                 .put("yard", "a").put("loaners", true).put("shift", 1).put("baton", 0).putNull("recall_s");
@@ -96,6 +100,8 @@
                 write_rps = 1000.0
                 value_kb = 32.0
                 txn_ops = 48
+                [params.state.next]
+                value_kb = 16.0
                 [params.cloud]
                 rps = 4.0
                 list_lag_s = 10.0
