--- a/src/main/java/io/sillreel/cloud/FlavorBook.java
+++ b/src/main/java/io/sillreel/cloud/FlavorBook.java
@@ -1,6 +1,7 @@
 package io.sillreel.cloud;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.sillreel.http.Json;
 import io.sillreel.http.Loop;
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.StateStore.Outcome;
@@ -57,7 +58,12 @@
             }
             learn(answer.body());
             if (storable) {
-                store.commit(new Txn().require(KEY, stamp).set(KEY, answer.body()));
+                store.commit(new Txn().require(KEY, stamp).set(KEY, answer.body())).thenAccept(commit -> {
+                    if (commit.outcome() == Outcome.TOO_LARGE) {
+                        LOG.error("{} is refused by the state service with {} bytes; controllers that start while the cloud "
+                                + "is down will not know the machine types", KEY, Json.bytes(answer.body()).length);
+                    }
+                });
             }
         });
     }
--- a/src/main/java/io/sillreel/pipeline/DoneParts.java
+++ b/src/main/java/io/sillreel/pipeline/DoneParts.java
@@ -144,14 +144,14 @@
     }
 
     /** One part of the set as it was when it was cut. */
-    private final class Part implements KeyWriter.Item {
+    private final class Part extends KeyWriter.OneKey {
         final int index;
         final long generation;
         final BitSet bits;
-        private long stamp;
         private boolean confirmed;
 
         Part(int index, long generation, BitSet bits) {
+            super(DoneParts.key(uid, index, generation), 0);
             this.index = index;
             this.generation = generation;
             this.bits = bits;
@@ -161,16 +161,6 @@
             return confirmed;
         }
 
-        @Override
-        public String key() {
-            return DoneParts.key(uid, index, generation);
-        }
-
-        @Override
-        public long stamp() {
-            return stamp;
-        }
-
         @Override
         public KeyWriter.Urgency urgency() {
             return KeyWriter.Urgency.PROGRESS;
@@ -184,37 +174,18 @@
 
         @Override
         public void stored(long newStamp) {
-            stamp = newStamp;
+            super.stored(newStamp);
             confirmed = true;
             if (pending.values().stream().allMatch(Part::isStored)) {
                 onStored.accept(DoneParts.this);
             }
         }
-
-        @Override
-        public void moved(long newStamp) {
-            stamp = newStamp;
-        }
     }
 
     /** The end of a key that nobody needs any more. */
-    static final class Removal implements KeyWriter.Item {
-        private final String key;
-        private long stamp;
-
+    static final class Removal extends KeyWriter.OneKey {
         Removal(String key, long stamp) {
-            this.key = key;
-            this.stamp = stamp;
-        }
-
-        @Override
-        public String key() {
-            return key;
-        }
-
-        @Override
-        public long stamp() {
-            return stamp;
+            super(key, stamp);
         }
 
         @Override
@@ -225,20 +196,15 @@
         @Override
         public Map<String, JsonNode> changes() {
             Map<String, JsonNode> changes = new HashMap<>();
-            if (stamp > 0) {
-                changes.put(key, null);
+            if (stamp() > 0) {
+                changes.put(key(), null);
             }
             return changes;
         }
 
         @Override
         public void stored(long newStamp) {
-            stamp = 0;
-        }
-
-        @Override
-        public void moved(long newStamp) {
-            stamp = newStamp;
+            super.stored(0);
         }
     }
 }
--- a/src/main/java/io/sillreel/statestore/KeyWriter.java
+++ b/src/main/java/io/sillreel/statestore/KeyWriter.java
@@ -71,6 +71,38 @@
         }
     }
 
+    /** Something under one key that nothing else is written with. */
+    public abstract static class OneKey implements Item {
+        private final String key;
+        private long stamp;
+
+        /** @param stamp as the key is thought to be stored, 0 if it is not */
+        protected OneKey(String key, long stamp) {
+            this.key = key;
+            this.stamp = stamp;
+        }
+
+        @Override
+        public final String key() {
+            return key;
+        }
+
+        @Override
+        public final long stamp() {
+            return stamp;
+        }
+
+        @Override
+        public void stored(long newStamp) {
+            stamp = newStamp;
+        }
+
+        @Override
+        public final void moved(long newStamp) {
+            stamp = newStamp;
+        }
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(KeyWriter.class);
     private static final int MOST_BYTES = 48 * 1024;
     private static final long GATHER_MICROS = 5_000;
--- a/src/test/java/io/sillreel/VersionsTest.java
+++ b/src/test/java/io/sillreel/VersionsTest.java
@@ -10,6 +10,7 @@
 import io.sillreel.peer.PeerMessages.Hello;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
+import io.sillreel.pipeline.QuietWatcher;
 import io.sillreel.pipeline.Rank;
 import io.sillreel.pipeline.RetrySchedule;
 import io.sillreel.pipeline.RunRecord;
@@ -78,22 +79,8 @@
         return HexFormat.of().parseHex(hex);
     }
 
-    private static final class Quiet implements ActiveJob.Watcher {
-        @Override
-        public void recordStored(ActiveJob job) {
-        }
-
-        @Override
-        public void foundWithdrawn(ActiveJob job) {
-        }
-
-        @Override
-        public void toWrite(List<? extends KeyWriter.Item> items) {
-        }
-    }
-
     private static ActiveJob job(int pieces) {
-        return new ActiveJob(spec("job-000412", pieces), 7, 0, 2_048, new Quiet());
+        return new ActiveJob(spec("job-000412", pieces), 7, 0, 2_048, new QuietWatcher());
     }
 
     @Test
@@ -189,15 +176,7 @@
         state.limits(2, 160, 1_000);
 
         KeyWriter[] writer = new KeyWriter[1];
-        ActiveJob.Watcher watcher = new ActiveJob.Watcher() {
-            @Override
-            public void recordStored(ActiveJob job) {
-            }
-
-            @Override
-            public void foundWithdrawn(ActiveJob job) {
-            }
-
+        ActiveJob.Watcher watcher = new QuietWatcher() {
             @Override
             public void toWrite(List<? extends KeyWriter.Item> items) {
                 items.forEach(writer[0]::enqueue);
--- a/src/test/java/io/sillreel/pipeline/PipelineTest.java
+++ b/src/test/java/io/sillreel/pipeline/PipelineTest.java
@@ -84,7 +84,7 @@
     void aVeryLargeDoneSetStaysWithinTheLargestValue() {
         int valueBytes = 8 * 1024;
         JobSpec spec = spec(100_000);
-        ActiveJob job = new ActiveJob(spec, 7, 0, valueBytes, new Quiet());
+        ActiveJob job = new ActiveJob(spec, 7, 0, valueBytes, new QuietWatcher());
         for (int piece = 0; piece < 99_999; piece += 2) {
             job.settle(piece);
         }
@@ -107,7 +107,7 @@
         job.stored(9);
         assertThat(job.isStored(99_998)).isTrue();
 
-        ActiveJob again = new ActiveJob(spec, 7, 0, valueBytes, new Quiet());
+        ActiveJob again = new ActiveJob(spec, 7, 0, valueBytes, new QuietWatcher());
         again.inherit(9, RunRecord.Head.of(head.get(job.key())), pieces(values));
         assertThat(again.doneCount()).isEqualTo(50_000);
         assertThat(again.nextWaiting()).isEqualTo(1);
@@ -122,7 +122,7 @@
     /** Guards against freeing a piece that a second live task still holds. */
     @Test
     void aPieceWaitsOnlyOnceNoTaskOfItIsLeft() {
-        ActiveJob job = new ActiveJob(spec(1), 7, 0, 8192, new Quiet());
+        ActiveJob job = new ActiveJob(spec(1), 7, 0, 8192, new QuietWatcher());
         job.seat(0);
         job.seat(0);
         job.unseat(0);
@@ -144,18 +144,4 @@
         return new JobSpec("job-000001", "l", "t", Rank.NORMAL, pieces, 1, 0, 1, "img", 1, null, null, false, false,
                 true, 1, 0, 0, -1, List.of());
     }
-
-    private static final class Quiet implements ActiveJob.Watcher {
-        @Override
-        public void recordStored(ActiveJob job) {
-        }
-
-        @Override
-        public void foundWithdrawn(ActiveJob job) {
-        }
-
-        @Override
-        public void toWrite(List<? extends KeyWriter.Item> items) {
-        }
-    }
 }
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -9,11 +9,11 @@
 import io.sillreel.http.Json;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
+import io.sillreel.pipeline.QuietWatcher;
 import io.sillreel.pipeline.Rank;
 import io.sillreel.placement.Planner.Assignment;
 import io.sillreel.placement.Planner.Plan;
 import io.sillreel.settings.Settings.Team;
-import io.sillreel.statestore.KeyWriter;
 import io.sillreel.workers.Report;
 import io.sillreel.workers.Report.Stage;
 import java.util.List;
@@ -51,19 +51,7 @@
     private ActiveJob job(String team, Rank rank, int pieces, double cpus, long ageMicros, boolean saves) {
         JobSpec spec = new JobSpec("job-%06d".formatted(++jobs), "l", team, rank, pieces, cpus, 0, 1, "img", 1, null, null,
                 false, false, true, 20 * SECOND, saves ? 5 * SECOND : 0, SECOND, -1, List.of());
-        ActiveJob job = new ActiveJob(spec, jobs, nowMicros - ageMicros, 8_192, new ActiveJob.Watcher() {
-            @Override
-            public void recordStored(ActiveJob stored) {
-            }
-
-            @Override
-            public void foundWithdrawn(ActiveJob withdrawn) {
-            }
-
-            @Override
-            public void toWrite(List<? extends KeyWriter.Item> items) {
-            }
-        });
+        ActiveJob job = new ActiveJob(spec, jobs, nowMicros - ageMicros, 8_192, new QuietWatcher());
         job.stored(1);
         cluster.add(job);
         return job;
--- a/src/test/java/io/sillreel/placement/PriorityInheritanceTest.java
+++ b/src/test/java/io/sillreel/placement/PriorityInheritanceTest.java
@@ -5,9 +5,9 @@
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.Chains;
 import io.sillreel.pipeline.JobSpec;
+import io.sillreel.pipeline.QuietWatcher;
 import io.sillreel.pipeline.Rank;
 import io.sillreel.settings.Settings.Team;
-import io.sillreel.statestore.KeyWriter;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -49,19 +49,7 @@
     private ActiveJob job(String uid, Rank rank, long dueMicros, String... awaits) {
         JobSpec spec = new JobSpec(uid, "l", "t", rank, 4, 1, 0, 1, "img", 1, null, null, false, false, true,
                 20 * SECOND, 0, 0, dueMicros, List.of(awaits));
-        return new ActiveJob(spec, 1, NOW, 8_192, new ActiveJob.Watcher() {
-            @Override
-            public void recordStored(ActiveJob job) {
-            }
-
-            @Override
-            public void foundWithdrawn(ActiveJob job) {
-            }
-
-            @Override
-            public void toWrite(List<? extends KeyWriter.Item> items) {
-            }
-        });
+        return new ActiveJob(spec, 1, NOW, 8_192, new QuietWatcher());
     }
 
     private ActiveJob joined(String uid, Rank rank, long dueMicros, String... awaits) {
