--- a/src/test/java/io/sillreel/pipeline/ChainStoriesTest.java
+++ b/src/test/java/io/sillreel/pipeline/ChainStoriesTest.java
@@ -245,6 +245,45 @@
         assertThat(world.broken()).isEmpty();
     }
 
+    /** Guards a list that is read page by page: it shows a job and not what that awaits, which was admitted in between. */
+    @Test
+    void whatIsReadBeforeThePlanOfWhatItAwaitsIsNotReleased() {
+        world.cloud().outage(true);
+        for (int job = 1; job <= 220; job++) {
+            world.submitMeanwhile(job % 3, World.job(uid(job), 1));
+            world.seconds(0.05);
+        }
+        world.seconds(10);
+        int holder = world.leader();
+        boolean[] reading = {false};
+        world.network().add((from, to, call) -> {
+            if (call.path().startsWith("/kv?prefix=plan/&since=") && !reading[0]) {
+                reading[0] = true;
+                world.network().slowness(250);
+            }
+            return null;
+        });
+        world.kill(holder);
+        world.until(() -> reading[0]);
+        // Only the second page is on its way for so long, and what came meanwhile is not seen either for some seconds.
+        world.network().slowness(1);
+        Rule unseen = world.network().add((from, to, call) ->
+                call.path().startsWith("/watch?prefix=plan/") ? Fate.LOSE : null);
+        int node = (holder + 1) % 3;
+        assertThat(accepted(node, World.job(uid(0), 1))).isEqualTo(201);
+        assertThat(accepted(node, World.job(uid(999), 1, uid(0)))).isEqualTo(201);
+        world.seconds(8);
+        world.network().remove(unseen);
+        assertThat(world.state().value("run/" + uid(999))).isNull();
+        world.until(() -> world.state().value("run/" + uid(0)) != null);
+        world.seconds(5);
+        assertThat(world.state().value("run/" + uid(999))).isNull();
+        world.cloud().outage(false);
+        world.seconds(60);
+        everyNodeSays(uid(999), "done");
+        assertThat(world.broken()).isEmpty();
+    }
+
     /** Guards the way through a long chain: its links are settled one by one, and polls of its end stay answered. */
     @Test
     void aChainOfHundredsIsClosedFromItsBeginning() {
