--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -encoding UTF-8 -cp 'target/lib/*' -d target/review review/standin/*.java
+javac -encoding UTF-8 -cp 'target/lib/*' -d target/review review/*.java
--- a/review/standin/run.sh
+++ b/review/run-case.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs one case: run.sh CLASS FOLDER. All processes that it starts end with it.
-here="$(cd "$(dirname "$0")/../.." && pwd)"
+# Runs one case: run-case.sh CLASS FOLDER. All processes that it starts end with it.
+here="$(cd "$(dirname "$0")/.." && pwd)"
 if [ ! -d "$here/target/review" ] || [ ! -f "$here/target/sillreel.jar" ]; then
     echo "build first: the build of deploy/service.toml, then review/build.sh" >&2
     exit 2
