An error in one request no longer ends the queue of all requests

What callers saw: after one request that ended with an Error, a controller answered no user and no worker any more, without a line in the log.

Cause: RequestQueue.runBatch scheduled its successor after the loop over the requests, so an Error that left a request ended the chain while batchScheduled stayed true, and enqueue never started it again. The server and NettyEventLoop caught RuntimeException only; Netty stored the Error in a future that nobody reads.

Change: UnexpectedErrors confines an error of any kind to its piece of work: it is logged (stack trace at most once a second, 40 frames), counted (sillreel.errors.unexpected) and the rest goes on. The event loop, the queue and the server use it; the client gets 503. The queue schedules its next batch whatever happens to a request. NettyHttpServer takes the event loop, which it needed to be the only one anyway.

Before the fix RequestQueueTest.servesLaterRequestsAfterAnErrorInOne served no request and HttpTest.answersWith503WhenAHandlerFailsWithAnError... got no response; both pass now. Simulations end with an AssertionError when a controller reports an unexpected error, unless the test tolerates it.

--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -253,7 +253,8 @@
                     heartbeatRelay,
                     loadBalancer,
                     eventLoopLag,
-                    requestQueue);
+                    requestQueue,
+                    eventLoop.unexpectedErrors());
         }
         return metrics;
     }
--- a/src/main/java/io/sillreel/ControllerMetrics.java
+++ b/src/main/java/io/sillreel/ControllerMetrics.java
@@ -14,6 +14,7 @@
 import io.sillreel.heartbeat.WorkerLoadBalancer;
 import io.sillreel.http.Json;
 import io.sillreel.http.RequestQueue;
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.leadership.LeaderElection;
 import io.sillreel.overload.AdaptiveConcurrencyLimit;
 import io.sillreel.overload.EventLoopLag;
@@ -28,6 +29,7 @@
     private final WorkerLoadBalancer loadBalancer;
     private final EventLoopLag eventLoopLag;
     private final RequestQueue requestQueue;
+    private final UnexpectedErrors unexpectedErrors;
     /** Null until the JSON form is first requested. */
     private MeterRegistry ownRegistry;
 
@@ -38,7 +40,8 @@
             HeartbeatRelay heartbeatRelay,
             WorkerLoadBalancer loadBalancer,
             EventLoopLag eventLoopLag,
-            RequestQueue requestQueue) {
+            RequestQueue requestQueue,
+            UnexpectedErrors unexpectedErrors) {
         this.heartbeatRouter = heartbeatRouter;
         this.leadership = leadership;
         this.concurrencyLimit = concurrencyLimit;
@@ -46,6 +49,7 @@
         this.loadBalancer = loadBalancer;
         this.eventLoopLag = eventLoopLag;
         this.requestQueue = requestQueue;
+        this.unexpectedErrors = unexpectedErrors;
     }
 
     @Override
@@ -80,6 +84,8 @@
                 .register(registry);
         FunctionCounter.builder("sillreel.requests.given.up", requestQueue, RequestQueue::abandonedCount)
                 .register(registry);
+        FunctionCounter.builder("sillreel.errors.unexpected", unexpectedErrors, UnexpectedErrors::count)
+                .register(registry);
         new JvmMemoryMetrics().bindTo(registry);
     }
 
--- a/src/main/java/io/sillreel/cli/ArchiveTrainingRun.java
+++ b/src/main/java/io/sillreel/cli/ArchiveTrainingRun.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import io.sillreel.http.Json;
+import io.sillreel.http.NettyEventLoop;
 import io.sillreel.http.NettyHttpServer;
 import io.sillreel.settings.OperatorProperties;
 import io.sillreel.settings.SettingsReader;
@@ -70,7 +71,7 @@
             String settings = settings(i, publicPorts[i], internalPorts[i], internalPorts[1 - i], servicesPort);
             daemons[i] = Main.run(SettingsReader.parse(settings), OperatorProperties.defaults());
             if (i == 0) {
-                new NettyHttpServer(daemons[0], NettyHttpServer.MAX_BODY_BYTES, 100)
+                new NettyHttpServer(new NettyEventLoop(daemons[0].next()), NettyHttpServer.MAX_BODY_BYTES, 100)
                         .listen(new InetSocketAddress("127.0.0.1", servicesPort), new TrainingServices()::handle);
             }
         }
--- a/src/main/java/io/sillreel/cli/FailureTraining.java
+++ b/src/main/java/io/sillreel/cli/FailureTraining.java
@@ -91,7 +91,7 @@
     }
 
     private void listen() {
-        listener = new NettyHttpServer(group, MAX_BYTES, MAX_CONNECTIONS)
+        listener = new NettyHttpServer(new NettyEventLoop(nettyLoop), MAX_BYTES, MAX_CONNECTIONS)
                 .listen(new InetSocketAddress(LOOPBACK, 0), this::handle);
         port = ((InetSocketAddress) listener.localAddress()).getPort();
     }
--- a/src/main/java/io/sillreel/cli/Main.java
+++ b/src/main/java/io/sillreel/cli/Main.java
@@ -191,13 +191,13 @@
         NettyHttpClient leaseClient = new NettyHttpClient(group.next(), LEASE_CONNECTIONS, limits.maxResponseBytes());
         Controller controller = new Controller(loop, client, leaseClient, settings, operatorProperties, limits);
         NettyHttpServer publicServer = new NettyHttpServer(
-                group,
+                loop,
                 NettyHttpServer.MAX_BODY_BYTES,
                 limits.maxPublicConnections(),
                 Controller::requestClass,
                 controller.requestQueue(),
                 limits.maxWorkerConnections());
-        new NettyHttpServer(group, MAX_BATCH_BYTES, limits.maxInternalConnections())
+        new NettyHttpServer(loop, MAX_BATCH_BYTES, limits.maxInternalConnections())
                 .listen(settings.localController().internalAddress(), controller::handleInternal);
         loop.execute(() -> controller.start(() -> publicServer
                 .bind(settings.localController().publicAddress(), controller::handlePublic)
--- a/src/main/java/io/sillreel/http/EventLoop.java
+++ b/src/main/java/io/sillreel/http/EventLoop.java
@@ -13,7 +13,9 @@
      */
     long wallMicros();
 
-    /** Runs the task after the delay; an exception it throws is logged and ends only this task. */
+    /**
+     * Runs the task after the delay; an error in it is reported to {@link #unexpectedErrors} and ends only this task.
+     */
     Timer schedule(long delayMicros, Runnable task);
 
     /** Runs the task as soon as possible, after the tasks that are due already. */
@@ -21,6 +23,9 @@
         schedule(0, task);
     }
 
+    /** Where the work of this event loop reports errors that it did not expect. */
+    UnexpectedErrors unexpectedErrors();
+
     /** A scheduled task. */
     interface Timer {
         /** Cancels the task; has no effect if it has already run or been cancelled. */
--- a/src/main/java/io/sillreel/http/NettyHttpServer.java
+++ b/src/main/java/io/sillreel/http/NettyHttpServer.java
@@ -9,10 +9,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.sillreel.http.RequestQueue.RequestClass;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +36,7 @@
 /**
  * An HTTP/1.1 server with persistent connections. Connections over the limit are closed at once. Worker agents may use
  * only part of the connections, so that users and health checks are still served when all agents connect to the only
- * controller that is up. The event loop group must have a single thread, to which all state is confined.
+ * controller that is up. All state is confined to the event loop.
  */
 public final class NettyHttpServer {
     public static final int MAX_BODY_BYTES = 64 * 1024;
@@ -47,7 +48,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(NettyHttpServer.class);
 
-    private final EventLoopGroup group;
+    private final NettyEventLoop eventLoop;
     private final int maxBodyBytes;
     private final int maxConnections;
     private final Function<HttpRequest, RequestClass> requestClassifier;
@@ -57,8 +58,8 @@
     private int workerConnections;
 
     /** Creates a server that handles every request without queueing it. */
-    public NettyHttpServer(EventLoopGroup group, int maxBodyBytes, int maxConnections) {
-        this(group, maxBodyBytes, maxConnections, request -> RequestClass.IMMEDIATE, null, 0);
+    public NettyHttpServer(NettyEventLoop eventLoop, int maxBodyBytes, int maxConnections) {
+        this(eventLoop, maxBodyBytes, maxConnections, request -> RequestClass.IMMEDIATE, null, 0);
     }
 
     /**
@@ -69,13 +70,13 @@
      *     {@link RequestClass#WORKERS}
      */
     public NettyHttpServer(
-            EventLoopGroup group,
+            NettyEventLoop eventLoop,
             int maxBodyBytes,
             int maxConnections,
             Function<HttpRequest, RequestClass> requestClassifier,
             RequestQueue requestQueue,
             int maxWorkerConnections) {
-        this.group = group;
+        this.eventLoop = eventLoop;
         this.maxBodyBytes = maxBodyBytes;
         this.maxConnections = maxConnections;
         this.requestClassifier = requestClassifier;
@@ -94,7 +95,7 @@
     /** Binds the address without waiting; may be called on the event loop. */
     public ChannelFuture bind(InetSocketAddress address, HttpHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(group)
+                .group(eventLoop.nettyLoop())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, Math.max(MIN_BACKLOG, maxConnections))
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -204,7 +205,9 @@
         private void respond(ChannelHandlerContext ctx, HttpRequest request, boolean keepAlive) {
             handle(request).whenComplete((response, failure) -> {
                 if (failure != null) {
-                    LOG.error("failed to handle request {} {}", request.method(), request.path(), failure);
+                    eventLoop
+                            .unexpectedErrors()
+                            .report("the request " + request.method() + " " + request.path(), failure);
                     write(ctx, HttpResponse.retryLater(503, "internal error", 1), keepAlive);
                 } else {
                     write(ctx, response, keepAlive);
@@ -212,11 +215,11 @@
             });
         }
 
-        /** Converts an exception thrown by the handler to a failed future. */
+        /** Converts whatever the handler throws to a failed future, so that its client gets a response. */
         private CompletableFuture<HttpResponse> handle(HttpRequest request) {
             try {
                 return handler.handle(request);
-            } catch (RuntimeException e) {
+            } catch (Throwable e) {
                 return CompletableFuture.failedFuture(e);
             }
         }
@@ -233,7 +236,11 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.debug("closing connection {}: {}", ctx.channel(), cause.toString());
+            if (cause instanceof IOException || cause instanceof CodecException) {
+                LOG.debug("closing connection {}: {}", ctx.channel(), cause.toString());
+            } else {
+                eventLoop.unexpectedErrors().report("a connection", cause);
+            }
             ctx.close();
         }
     }
--- a/src/main/java/io/sillreel/http/RequestQueue.java
+++ b/src/main/java/io/sillreel/http/RequestQueue.java
@@ -81,19 +81,32 @@
         return true;
     }
 
+    /** Handles a batch and schedules the next one, whatever happens to a request of this one. */
     private void runBatch() {
+        boolean isQueueEmpty = false;
+        try {
+            isQueueEmpty = handleBatch();
+        } finally {
+            if (!isQueueEmpty) {
+                // A task with a delay of zero would run before the event loop processes I/O again.
+                eventLoop.schedule(1, this::runBatch);
+            }
+        }
+    }
+
+    /** Handles requests until the batch is full; returns true if none was left in the queue before. */
+    private boolean handleBatch() {
         long startedMicros = eventLoop.nowMicros();
         for (int handled = 0;
                 handled < MAX_BATCH_REQUESTS && eventLoop.nowMicros() - startedMicros < MAX_BATCH_MICROS;
                 handled++) {
             QueuedRequest request = poll();
             if (request == null) {
-                return;
+                return true;
             }
-            request.task().run();
+            eventLoop.unexpectedErrors().runConfined("a queued request", request.task());
         }
-        // A task with a delay of zero would run before the event loop processes I/O again.
-        eventLoop.schedule(1, this::runBatch);
+        return false;
     }
 
     /** Removes and returns the next request to handle, or null if none is queued. */
--- a/src/test/java/io/sillreel/cli/ClassArchiveIT.java
+++ b/src/test/java/io/sillreel/cli/ClassArchiveIT.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.ChannelInputShutdownReadComplete;
+import io.sillreel.http.NettyEventLoop;
 import io.sillreel.http.NettyHttpServer;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -141,7 +142,7 @@
         Path config = Files.writeString(folder.resolve("node.toml"), settings);
         Path output = folder.resolve("output.log");
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        new NettyHttpServer(group, NettyHttpServer.MAX_BODY_BYTES, 100)
+        new NettyHttpServer(new NettyEventLoop(group.next()), NettyHttpServer.MAX_BODY_BYTES, 100)
                 .listen(new InetSocketAddress("127.0.0.1", statePort), new TrainingServices()::handle);
         Process daemon = start(config, output);
         try (FaultyPeers peers = new FaultyPeers(faultyPort)) {
--- a/src/test/java/io/sillreel/cli/RecoveryCommandTest.java
+++ b/src/test/java/io/sillreel/cli/RecoveryCommandTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.sillreel.http.HttpResponse;
 import io.sillreel.http.Json;
+import io.sillreel.http.NettyEventLoop;
 import io.sillreel.http.NettyHttpServer;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -26,7 +27,7 @@
 
     /** Starts a stub controller that reports its status and refuses to accept a loss. */
     private String startController() {
-        Channel channel = new NettyHttpServer(group, NettyHttpServer.MAX_BODY_BYTES, 10)
+        Channel channel = new NettyHttpServer(new NettyEventLoop(group.next()), NettyHttpServer.MAX_BODY_BYTES, 10)
                 .listen(
                         new InetSocketAddress("127.0.0.1", 0),
                         request -> CompletableFuture.completedFuture(
--- a/src/test/java/io/sillreel/http/HttpTest.java
+++ b/src/test/java/io/sillreel/http/HttpTest.java
@@ -20,9 +20,11 @@
 class HttpTest {
     private static final long TIMEOUT_MICROS = 20_000_000;
 
+    private static final long SHORT_TIMEOUT_MICROS = 3_000_000;
     private static final int MAX_RESPONSE_BYTES = 100_000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final NettyEventLoop eventLoop = new NettyEventLoop(group.next());
     private final NettyHttpClient client = new NettyHttpClient(group.next(), 2, MAX_RESPONSE_BYTES);
 
     @AfterEach
@@ -31,7 +33,7 @@
     }
 
     private String listen(HttpHandler handler) {
-        Channel channel = new NettyHttpServer(group, NettyHttpServer.MAX_BODY_BYTES, 10)
+        Channel channel = new NettyHttpServer(eventLoop, NettyHttpServer.MAX_BODY_BYTES, 10)
                 .listen(new InetSocketAddress("127.0.0.1", 0), handler);
         return "127.0.0.1:" + ((InetSocketAddress) channel.localAddress()).getPort();
     }
@@ -80,7 +82,7 @@
     /** Guards against refused connections when all worker agents connect to the only remaining controller at once. */
     @Test
     void acceptBacklogMatchesConnectionLimit() {
-        NettyHttpServer server = new NettyHttpServer(group, NettyHttpServer.MAX_BODY_BYTES, 3_000);
+        NettyHttpServer server = new NettyHttpServer(eventLoop, NettyHttpServer.MAX_BODY_BYTES, 3_000);
         NioServerSocketChannel channel =
                 (NioServerSocketChannel) server.listen(new InetSocketAddress("127.0.0.1", 0), request -> null);
         assertThat(channel.config().getBacklog()).isEqualTo(3_000);
@@ -89,11 +91,11 @@
     @Test
     void workerConnectionLimitLeavesConnectionsForOtherClients() {
         NettyHttpServer server = new NettyHttpServer(
-                group,
+                eventLoop,
                 NettyHttpServer.MAX_BODY_BYTES,
                 10,
                 request -> request.route().equals("/beat") ? RequestClass.WORKERS : RequestClass.IMMEDIATE,
-                new RequestQueue(new NettyEventLoop(group.next()), MAX_RESPONSE_BYTES),
+                new RequestQueue(eventLoop, MAX_RESPONSE_BYTES),
                 2);
         Channel listening = server.listen(
                 new InetSocketAddress("127.0.0.1", 0),
@@ -157,7 +159,7 @@
     @Test
     void reportsNotSentWhenConnectionIsRefused() {
         Channel channel =
-                new NettyHttpServer(group, 10, 10).listen(new InetSocketAddress("127.0.0.1", 0), request -> null);
+                new NettyHttpServer(eventLoop, 10, 10).listen(new InetSocketAddress("127.0.0.1", 0), request -> null);
         int port = ((InetSocketAddress) channel.localAddress()).getPort();
         channel.close().syncUninterruptibly();
         assertThat(client.send("127.0.0.1:" + port, HttpRequest.get("/"), TIMEOUT_MICROS)
@@ -165,4 +167,34 @@
                         .status())
                 .isEqualTo(HttpResponse.NOT_SENT);
     }
+
+    /** Guards against a malformed request whose error left its client, and all later clients, without a response. */
+    @Test
+    void answersWith503WhenAHandlerFailsWithAnErrorAndServesTheNextRequest() {
+        NettyHttpServer server = new NettyHttpServer(
+                eventLoop,
+                MAX_RESPONSE_BYTES,
+                10,
+                request -> request.route().equals("/immediate") ? RequestClass.IMMEDIATE : RequestClass.USERS,
+                new RequestQueue(eventLoop, MAX_RESPONSE_BYTES),
+                0);
+        Channel channel = server.listen(new InetSocketAddress("127.0.0.1", 0), request -> {
+            if (request.method().equals("POST")) {
+                throw new StackOverflowError("nested too deep");
+            }
+            return CompletableFuture.completedFuture(HttpResponse.of(200, Json.object()));
+        });
+        String address = "127.0.0.1:" + ((InetSocketAddress) channel.localAddress()).getPort();
+        for (String path : List.of("/queued", "/immediate")) {
+            assertThat(client.send(address, HttpRequest.post(path, Json.object()), SHORT_TIMEOUT_MICROS)
+                            .join()
+                            .status())
+                    .isEqualTo(503);
+            assertThat(client.send(address, HttpRequest.get(path), SHORT_TIMEOUT_MICROS)
+                            .join()
+                            .status())
+                    .isEqualTo(200);
+        }
+        assertThat(eventLoop.unexpectedErrors().count()).isEqualTo(2);
+    }
 }
--- a/src/test/java/io/sillreel/http/RequestQueueTest.java
+++ b/src/test/java/io/sillreel/http/RequestQueueTest.java
@@ -96,4 +96,19 @@
         enqueue(RequestClass.IMMEDIATE, "check", 1_000_000);
         assertThat(served).containsExactly("check");
     }
+
+    /** Guards against one malformed request ending all service: no later request was taken from the queue. */
+    @Test
+    void servesLaterRequestsAfterAnErrorInOne() {
+        process.tolerateUnexpectedErrors();
+        requestQueue.enqueue(RequestClass.USERS, 1_000, () -> true, () -> {
+            throw new StackOverflowError("nested too deep");
+        });
+        enqueue(RequestClass.USERS, "same batch", 2_000_000);
+        time.runFor(100_000);
+        enqueue(RequestClass.WORKERS, "next batch", 2_000_000);
+        time.runFor(100_000);
+        assertThat(served).containsExactly("same batch", "next batch");
+        assertThat(requestQueue.waitingCount()).isZero();
+    }
 }
--- a/src/test/java/io/sillreel/load/LoadDriver.java
+++ b/src/test/java/io/sillreel/load/LoadDriver.java
@@ -119,9 +119,9 @@
         stored.addDone(doneJobs);
         stored.addAwaiting(awaitingJobs);
         stateService.setLimits(48, 32 * 1024, 100);
-        new NettyHttpServer(group, 128 * 1024, 1_000)
+        new NettyHttpServer(new NettyEventLoop(group.next()), 128 * 1024, 1_000)
                 .listen(new InetSocketAddress("127.0.0.1", statePort), stateService);
-        new NettyHttpServer(group, 128 * 1024, 1_000)
+        new NettyHttpServer(new NettyEventLoop(group.next()), 128 * 1024, 1_000)
                 .listen(new InetSocketAddress("127.0.0.1", cloudPort), services::handleCloudRequest);
         Path directory = Files.createTempDirectory("sillreel-load");
         for (int node = 0; node < controllers; node++) {
--- a/src/test/java/io/sillreel/sim/SimTime.java
+++ b/src/test/java/io/sillreel/sim/SimTime.java
@@ -1,6 +1,7 @@
 package io.sillreel.sim;
 
 import io.sillreel.http.EventLoop;
+import io.sillreel.http.UnexpectedErrors;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.concurrent.CompletableFuture;
@@ -39,6 +40,18 @@
         private boolean killed;
         private long pausedUntilMicros;
         private long processingMicros;
+        private final UnexpectedErrors unexpectedErrors = new UnexpectedErrors(this::nowMicros);
+        private boolean toleratesUnexpectedErrors;
+
+        /** Lets the test cause errors; without this call, an error that is reported ends the test. */
+        public void tolerateUnexpectedErrors() {
+            toleratesUnexpectedErrors = true;
+        }
+
+        @Override
+        public UnexpectedErrors unexpectedErrors() {
+            return unexpectedErrors;
+        }
 
         /** Sets the processing time of each task from now on; tasks that fall due meanwhile wait. */
         public void setProcessingMicros(long microsPerTask) {
@@ -71,7 +84,14 @@
                 SimTime.this.after(pausedUntilMicros - nowMicros, () -> run(task, cancelled));
             } else if (!killed && !cancelled[0]) {
                 occupy(processingMicros);
-                task.run();
+                runTask(task);
+            }
+        }
+
+        private void runTask(Runnable task) {
+            unexpectedErrors.runConfined("a task of the simulation", task);
+            if (!toleratesUnexpectedErrors && unexpectedErrors.count() > 0) {
+                throw new AssertionError("a controller reported an unexpected error; see the log");
             }
         }
 
