JSON is parsed without recursion, so that nesting can't overflow the stack

What callers saw: a submission of 4,000 bytes that is no object (2,000 nested arrays) got no answer, instead of 400.

Cause: Json.readValue called itself for each level of nesting. Jackson allows 1,000 levels, and the stack of a controller (384 KiB) overflows at some 950 once the method is compiled.

Change: the open containers are kept in a list of their own. The limit on nesting stays Jackson's; beyond it a body counts as malformed. The same method reads the answers of the state service and the cloud.

--- a/src/main/java/io/sillreel/http/Json.java
+++ b/src/main/java/io/sillreel/http/Json.java
@@ -12,6 +12,8 @@
 import com.fasterxml.jackson.databind.node.TreeTraversingParser;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * Reads and writes JSON with Jackson's streaming API and tree model. There is no ObjectMapper, because data binding is
@@ -52,7 +54,9 @@
         }
     }
 
-    /** Parses the body; returns a missing node if it is not JSON. */
+    /**
+     * Parses the body; returns a missing node if it is not JSON, or nested more deeply than Jackson's parser allows.
+     */
     public static JsonNode parse(byte[] body) {
         try (JsonParser in = createParser(body)) {
             return readTree(in);
@@ -75,23 +79,47 @@
         return in.nextToken() == null ? node : MissingNode.getInstance();
     }
 
+    /**
+     * Reads the value that begins at the current token. The containers that are not closed yet are kept in a list of
+     * their own and not on the call stack, which nesting within the parser's limit could overflow.
+     */
     private static JsonNode readValue(JsonParser in) throws IOException {
-        return switch (in.currentToken()) {
-            case START_OBJECT -> {
-                ObjectNode object = NODE_FACTORY.objectNode();
-                for (String name = in.nextFieldName(); name != null; name = in.nextFieldName()) {
-                    in.nextToken();
-                    object.set(name, readValue(in));
-                }
-                yield object;
+        JsonNode value = readScalarOrEmptyContainer(in);
+        Deque<JsonNode> openContainers = new ArrayDeque<>();
+        if (value.isContainerNode()) {
+            openContainers.push(value);
+        }
+        while (!openContainers.isEmpty()) {
+            if (in.nextToken().isStructEnd()) {
+                openContainers.pop();
+                continue;
             }
-            case START_ARRAY -> {
-                ArrayNode array = NODE_FACTORY.arrayNode();
-                while (!in.nextToken().isStructEnd()) {
-                    array.add(readValue(in));
-                }
-                yield array;
+            JsonNode element = readElement(in, openContainers.peek());
+            if (element.isContainerNode()) {
+                openContainers.push(element);
             }
+        }
+        return value;
+    }
+
+    /** Reads the next element of the container; a nested container is added empty, to be filled by the caller. */
+    private static JsonNode readElement(JsonParser in, JsonNode container) throws IOException {
+        if (container instanceof ObjectNode object) {
+            String name = in.currentName();
+            in.nextToken();
+            JsonNode element = readScalarOrEmptyContainer(in);
+            object.set(name, element);
+            return element;
+        }
+        JsonNode element = readScalarOrEmptyContainer(in);
+        ((ArrayNode) container).add(element);
+        return element;
+    }
+
+    private static JsonNode readScalarOrEmptyContainer(JsonParser in) throws IOException {
+        return switch (in.currentToken()) {
+            case START_OBJECT -> NODE_FACTORY.objectNode();
+            case START_ARRAY -> NODE_FACTORY.arrayNode();
             case VALUE_STRING -> NODE_FACTORY.textNode(in.getText());
             case VALUE_NUMBER_INT ->
                 switch (in.getNumberType()) {
