A controller whose queued requests are not handled fails its health checks

What callers saw: the load balancer kept sending users to controllers that answered nobody, since GET /up went on answering 200.

Cause: health checks skip the request queue, and looked only at the state service and the machine types. Nothing told whether queued requests are handled at all.

Change: RequestQueue.isStalled is true once requests wait and none has been taken for 3 s; the health check then answers 503, whatever the other controllers can do. Progress is what counts, not age, so a controller that is merely overloaded stays healthy. The metric sillreel.requests.stalled shows the same.

--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -98,7 +98,7 @@
         this.heartbeatRelay = new HeartbeatRelay(eventLoop, httpClient, loadBalancer::workerCount);
         this.heartbeatRouter = new HeartbeatRouter(
                 eventLoop, activeTerm, heartbeatRelay, loadBalancer, protection.heartbeatObserver());
-        this.healthCheck = new HealthCheck(eventLoop, store, peers, machineTypes);
+        this.healthCheck = new HealthCheck(eventLoop, store, peers, machineTypes, requestQueue);
         this.helloExchange =
                 new HelloExchange(httpClient, settings, peers, election, healthCheck, loadBalancer, heartbeatRouter);
     }
--- a/src/main/java/io/sillreel/ControllerMetrics.java
+++ b/src/main/java/io/sillreel/ControllerMetrics.java
@@ -82,6 +82,8 @@
                 .register(registry);
         Gauge.builder("sillreel.requests.waiting", requestQueue, RequestQueue::waitingCount)
                 .register(registry);
+        Gauge.builder("sillreel.requests.stalled", requestQueue, each -> each.isStalled() ? 1 : 0)
+                .register(registry);
         FunctionCounter.builder("sillreel.requests.given.up", requestQueue, RequestQueue::abandonedCount)
                 .register(registry);
         FunctionCounter.builder("sillreel.errors.unexpected", unexpectedErrors, UnexpectedErrors::count)
--- a/src/main/java/io/sillreel/HealthCheck.java
+++ b/src/main/java/io/sillreel/HealthCheck.java
@@ -4,6 +4,7 @@
 import io.sillreel.http.EventLoop;
 import io.sillreel.http.HttpResponse;
 import io.sillreel.http.Json;
+import io.sillreel.http.RequestQueue;
 import io.sillreel.peer.Peers;
 import io.sillreel.statestore.StateStore;
 
@@ -15,13 +16,20 @@
     private final StateStore store;
     private final Peers peers;
     private final MachineTypeCatalog machineTypes;
+    private final RequestQueue requestQueue;
     private final long startedMicros;
 
-    HealthCheck(EventLoop eventLoop, StateStore store, Peers peers, MachineTypeCatalog machineTypes) {
+    HealthCheck(
+            EventLoop eventLoop,
+            StateStore store,
+            Peers peers,
+            MachineTypeCatalog machineTypes,
+            RequestQueue requestQueue) {
         this.eventLoop = eventLoop;
         this.store = store;
         this.peers = peers;
         this.machineTypes = machineTypes;
+        this.requestQueue = requestQueue;
         this.startedMicros = eventLoop.nowMicros();
     }
 
@@ -34,9 +42,13 @@
     /**
      * Responds unhealthy if another controller can reach the state service while this one can't, or while this one has
      * no machine types yet to validate submissions with: the other controller then serves users better. If no
-     * controller can reach the service, an unhealthy response would not help.
+     * controller can reach the service, an unhealthy response would not help. Also responds unhealthy, whatever the
+     * others can do, while the requests of this controller are not handled: health checks do not wait with them.
      */
     HttpResponse respond() {
+        if (requestQueue.isStalled()) {
+            return HttpResponse.retryLater(503, "the queued requests are not handled", 1);
+        }
         boolean canServe = isStoreReachable() && !machineTypes.types().isEmpty();
         if (!canServe && peers.isStoreReachableElsewhere()) {
             return HttpResponse.retryLater(503, "the state service can't be asked from here", 1);
--- a/src/main/java/io/sillreel/http/RequestQueue.java
+++ b/src/main/java/io/sillreel/http/RequestQueue.java
@@ -32,6 +32,9 @@
      */
     private static final long LIFO_THRESHOLD_MICROS = 1_000_000;
 
+    /** Even with many requests waiting, a queue that is served takes several of them in this time. */
+    private static final long STALLED_AFTER_MICROS = 3_000_000;
+
     private record QueuedRequest(long queuedAtMicros, int bytes, BooleanSupplier isClientWaiting, Runnable task) {}
 
     private final EventLoop eventLoop;
@@ -40,6 +43,9 @@
     private final Deque<QueuedRequest> workerRequests = new ArrayDeque<>();
     private boolean workersNext;
     private boolean batchScheduled;
+    /** When a request was last taken from the queue, or queued while no other was waiting. */
+    private long lastProgressMicros;
+
     private long abandonedCount;
     private long queuedBytes;
 
@@ -69,6 +75,9 @@
             if (queuedBytes + bytes > maxBytes) {
                 return false;
             }
+            if (waitingCount() == 0) {
+                lastProgressMicros = eventLoop.nowMicros();
+            }
             queuedBytes += bytes;
             (requestClass == RequestClass.USERS ? userRequests : workerRequests)
                     .add(new QueuedRequest(eventLoop.nowMicros(), bytes, isClientWaiting, task));
@@ -117,6 +126,7 @@
             request = poll(workersNext ? userRequests : workerRequests);
         }
         batchScheduled = request != null;
+        lastProgressMicros = eventLoop.nowMicros();
         return request;
     }
 
@@ -135,6 +145,11 @@
         return null;
     }
 
+    /** Returns true if requests are waiting and none has been taken from the queue for seconds. */
+    public synchronized boolean isStalled() {
+        return waitingCount() > 0 && eventLoop.nowMicros() - lastProgressMicros > STALLED_AFTER_MICROS;
+    }
+
     /** Returns the number of requests dropped because their clients had given up. */
     public synchronized long abandonedCount() {
         return abandonedCount;
--- a/src/test/java/io/sillreel/sim/SimClusterSettings.java
+++ b/src/test/java/io/sillreel/sim/SimClusterSettings.java
@@ -79,7 +79,7 @@
      *
      * @param announced whether the file announces future limits; the previous version does not know that field
      */
-    String toml(int node, boolean announced) {
+    public String toml(int node, boolean announced) {
         StringBuilder toml = new StringBuilder("""
                 node_name = "hopper-%1$d"
                 area = "a"
