--- a/src/main/java/io/sillreel/ControllerMetrics.java
+++ b/src/main/java/io/sillreel/ControllerMetrics.java
@@ -68,6 +68,9 @@
                 .register(registry);
         FunctionCounter.builder("sillreel.requests.refused", concurrencyLimit, AdaptiveConcurrencyLimit::refusedCount)
                 .register(registry);
+        FunctionCounter.builder(
+                        "sillreel.requests.timed.out", concurrencyLimit, AdaptiveConcurrencyLimit::timedOutCount)
+                .register(registry);
         Gauge.builder("sillreel.requests.limit", concurrencyLimit, AdaptiveConcurrencyLimit::limit)
                 .register(registry);
         Gauge.builder("sillreel.workers", loadBalancer, WorkerLoadBalancer::workerCount)
--- a/src/test/java/io/sillreel/overload/AdaptiveConcurrencyLimitTest.java
+++ b/src/test/java/io/sillreel/overload/AdaptiveConcurrencyLimitTest.java
@@ -71,4 +71,40 @@
                 .isEqualTo(429);
         assertThat(forwardedPaths).containsOnlyOnce("/v2/runs/overdue");
     }
+
+    /** Guards against refusing all users after some malformed requests: a handler that threw kept its permit. */
+    @Test
+    void admitsRequestsAfterTheHandlerHasThrown() {
+        AdaptiveConcurrencyLimit limit = new AdaptiveConcurrencyLimit(
+                request -> {
+                    if (request.method().equals("POST")) {
+                        throw new StackOverflowError("nested too deep");
+                    }
+                    return CompletableFuture.completedFuture(HttpResponse.of(200, Json.object()));
+                },
+                20,
+                4_000,
+                () -> nowMicros);
+        for (int i = 0; i < 50; i++) {
+            assertThat(limit.handle(HttpRequest.post("/v2/runs", Json.object())))
+                    .isCompletedExceptionally();
+        }
+        assertThat(limit.handle(HttpRequest.get("/v2/runs/job-000001")).join().status())
+                .isEqualTo(200);
+    }
+
+    /** Guards against refusing all users because some requests are never answered. */
+    @Test
+    void releasesThePermitsOfRequestsThatAreNotAnsweredInTime() {
+        AdaptiveConcurrencyLimit limit =
+                new AdaptiveConcurrencyLimit(request -> new CompletableFuture<>(), 20, 4_000, () -> nowMicros);
+        CompletableFuture<HttpResponse> first = limit.handle(HttpRequest.post("/v2/runs", Json.object()));
+        for (int i = 0; i < 50; i++) {
+            limit.handle(HttpRequest.post("/v2/runs", Json.object()));
+        }
+        assertThat(first).isNotDone();
+        nowMicros += 21_000_000;
+        assertThat(limit.handle(HttpRequest.post("/v2/runs", Json.object()))).isNotDone();
+        assertThat(first.join().status()).isEqualTo(503);
+    }
 }
