One heartbeat with an error no longer takes its batch or the relay with it

An error with the encoding or the answer of two batches ended the relay of that follower for good, since the count of batches in flight was lowered only in the lost callback. A text that holds half a character is enough for the encoding to fail.

Change: HeartbeatBatch answers 503 to the one heartbeat; HeartbeatRelay counts a batch whose answer fails as lost, refuses heartbeats that can't be encoded and sends the others. UnexpectedErrors.whenDone and callConfined log and count what would have been stored in a future that nobody reads.

Before the fix the three new tests failed: no response came for the whole batch, after two lost batches, and for a worker beside the faulty one.

--- a/src/main/java/io/sillreel/heartbeat/HeartbeatBatch.java
+++ b/src/main/java/io/sillreel/heartbeat/HeartbeatBatch.java
@@ -21,6 +21,7 @@
      */
     static final int MAX_RESPONSE_BYTES = 1 << 20;
 
+    private static final HttpResponse INTERNAL_ERROR = HttpResponse.retryLater(503, "internal error", 1);
     private static final HttpResponse RESPONSE_LIMIT_REACHED =
             HttpResponse.retryLater(503, "too much is to be told at once", 1);
 
@@ -49,7 +50,7 @@
         while (responses.size() < upTo) {
             HttpResponse response = responseBytes > MAX_RESPONSE_BYTES
                     ? RESPONSE_LIMIT_REACHED
-                    : process.apply(heartbeats.get(responses.size()));
+                    : processConfined(heartbeats.get(responses.size()));
             responseBytes += response.body().length;
             responses.add(response);
         }
@@ -59,4 +60,14 @@
             eventLoop.schedule(1, this::processNextChunk);
         }
     }
+
+    /** An error with one heartbeat must not leave the others of the batch without a response. */
+    private HttpResponse processConfined(Heartbeat heartbeat) {
+        return eventLoop
+                .unexpectedErrors()
+                .callConfined(
+                        "the heartbeat of machine " + heartbeat.machine(),
+                        () -> process.apply(heartbeat),
+                        INTERNAL_ERROR);
+    }
 }
--- a/src/main/java/io/sillreel/heartbeat/HeartbeatRelay.java
+++ b/src/main/java/io/sillreel/heartbeat/HeartbeatRelay.java
@@ -49,6 +49,8 @@
     private static final HttpResponse LEADER_UNREACHABLE =
             HttpResponse.retryLater(503, "the leader can't be reached", 1);
 
+    private static final HttpResponse UNENCODABLE = HttpResponse.retryLater(503, "the report can't be handed on", 1);
+
     private record PendingHeartbeat(Heartbeat heartbeat, long receivedMicros, CompletableFuture<HttpResponse> result) {}
 
     private final EventLoop eventLoop;
@@ -156,16 +158,54 @@
         if (batch.isEmpty()) {
             return;
         }
-        HttpRequest request = HeartbeatBatchCodec.toRequest(
-                batch.stream().map(PendingHeartbeat::heartbeat).toList());
-        httpClient
-                .send(leaderAddress, request, TIMEOUT_MICROS)
-                .thenAccept(response -> handleResponse(batch, leaderAddress, response));
+        HttpRequest request = encode(batch);
+        if (request == null) {
+            refuseUnencodable(batch);
+            return;
+        }
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        httpClient.send(leaderAddress, request, TIMEOUT_MICROS),
+                        "the responses to a batch of heartbeats",
+                        response -> handleResponse(batch, leaderAddress, response),
+                        () -> handleResponse(batch, leaderAddress, HttpResponse.noResponse()));
+    }
+
+    /** Returns the request that relays the heartbeats, or null if one of them can't be encoded. */
+    private HttpRequest encode(List<PendingHeartbeat> batch) {
+        List<Heartbeat> heartbeats =
+                batch.stream().map(PendingHeartbeat::heartbeat).toList();
+        return eventLoop
+                .unexpectedErrors()
+                .callConfined("encoding heartbeats", () -> HeartbeatBatchCodec.toRequest(heartbeats), null);
+    }
+
+    /** Refuses the heartbeats that can't be encoded, and queues the others of their batch again. */
+    private void refuseUnencodable(List<PendingHeartbeat> batch) {
+        for (PendingHeartbeat pending : batch) {
+            boolean isEncodable = encode(List.of(pending)) != null;
+            synchronized (this) {
+                if (isEncodable) {
+                    queue.add(pending);
+                }
+            }
+            if (!isEncodable) {
+                pending.result().complete(UNENCODABLE);
+            }
+        }
+        synchronized (this) {
+            pendingBatches--;
+            if (queue.isEmpty() || sendScheduled) {
+                return;
+            }
+            sendScheduled = true;
+        }
+        eventLoop.schedule(0, this::sendBatch);
     }
 
     private void handleResponse(List<PendingHeartbeat> batch, String leaderAddress, HttpResponse response) {
-        List<HttpResponse> responses =
-                response.isOk() ? HeartbeatBatchCodec.decodeResponses(response.body()) : List.of();
+        List<HttpResponse> responses = response.isOk() ? decodeResponses(response) : List.of();
         boolean isAnswered = responses.size() == batch.size();
         boolean hasNextBatch;
         synchronized (this) {
@@ -187,6 +227,15 @@
         }
     }
 
+    private List<HttpResponse> decodeResponses(HttpResponse response) {
+        return eventLoop
+                .unexpectedErrors()
+                .callConfined(
+                        "the responses to a batch of heartbeats",
+                        () -> HeartbeatBatchCodec.decodeResponses(response.body()),
+                        List.of());
+    }
+
     /** Called with the lock of this object held. */
     private void recordLostBatch(List<PendingHeartbeat> batch, String leaderAddress, HttpResponse response) {
         lostCount += batch.size();
--- a/src/main/java/io/sillreel/http/UnexpectedErrors.java
+++ b/src/main/java/io/sillreel/http/UnexpectedErrors.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -89,6 +90,21 @@
         }
     }
 
+    /** Calls the task; returns the fallback if it ended with an error, which is reported. */
+    public <T> T callConfined(String work, Supplier<T> task, T fallback) {
+        try {
+            return task.get();
+        } catch (Throwable e) {
+            report(work, e);
+            return fallback;
+        }
+    }
+
+    /** Runs the callback with the result of the future; an error of either is reported. */
+    public <T> void whenDone(CompletableFuture<T> future, String work, Consumer<? super T> callback) {
+        whenDone(future, work, callback, () -> {});
+    }
+
     /**
      * Runs the callback with the result of the future. An error of the future or of the callback would otherwise be
      * stored in another future that nobody reads.
--- a/src/test/java/io/sillreel/heartbeat/HeartbeatBatchTest.java
+++ b/src/test/java/io/sillreel/heartbeat/HeartbeatBatchTest.java
@@ -58,4 +58,26 @@
                 .hasSizeLessThan(13);
         assertThat(responses.get(39).status()).isEqualTo(503);
     }
+
+    /** Guards the other workers of a batch: an error in one heartbeat left all of them without a response. */
+    @Test
+    void refusesOnlyTheHeartbeatThatCausesAnError() {
+        time.tolerateUnexpectedErrors();
+        int[] processed = {0};
+        int faulty = HeartbeatBatch.MAX_HEARTBEATS_PER_CHUNK + 1;
+        HeartbeatBatch batch = new HeartbeatBatch(process, Collections.nCopies(20, HEARTBEAT), heartbeat -> {
+            if (processed[0]++ == faulty) {
+                throw new IndexOutOfBoundsException("task -5");
+            }
+            return new HttpResponse(200, new byte[0], 0);
+        });
+        CompletableFuture<HttpResponse> result = batch.start();
+        time.runFor(1_000);
+        assertThat(result).isDone();
+        List<HttpResponse> responses =
+                HeartbeatBatchCodec.decodeResponses(result.join().body());
+        assertThat(responses).hasSize(20);
+        assertThat(responses.get(faulty).status()).isEqualTo(503);
+        assertThat(responses).filteredOn(HttpResponse::isOk).hasSize(19);
+    }
 }
--- a/src/test/java/io/sillreel/heartbeat/HeartbeatRelayTest.java
+++ b/src/test/java/io/sillreel/heartbeat/HeartbeatRelayTest.java
@@ -143,4 +143,44 @@
         assertThat(relayBatches(HttpResponse.notSent(), 1).isReachable("leader:1"))
                 .isFalse();
     }
+
+    /** Guards the workers of a follower: an error with two batches ended the relay of all later heartbeats. */
+    @Test
+    void relaysLaterHeartbeatsAfterErrorsWithTheResponsesToEarlierOnes() {
+        SimTime.Process process = time.new Process();
+        time.tolerateUnexpectedErrors();
+        int[] requests = {0};
+        HeartbeatRelay heartbeatRelay = new HeartbeatRelay(
+                process,
+                (address, request, timeout) -> ++requests[0] <= 4
+                        ? CompletableFuture.failedFuture(new IllegalStateException("no response can be read"))
+                        : respond(request),
+                () -> 1);
+        for (int i = 0; i < 4; i++) {
+            CompletableFuture<HttpResponse> response = heartbeatRelay.relay(heartbeat(i, List.of()), "leader:1");
+            time.runFor(1_000_000);
+            assertThat(response).isCompletedWithValueMatching(each -> each.status() == 503);
+        }
+        CompletableFuture<HttpResponse> response = heartbeatRelay.relay(heartbeat(9, List.of()), "leader:1");
+        time.runFor(1_000_000);
+        assertThat(response).isCompletedWithValueMatching(HttpResponse::isOk);
+    }
+
+    /** Guards the other workers of a follower against one whose texts can't be encoded, such as half a character. */
+    @Test
+    void relaysTheOtherHeartbeatsOfABatchThatHoldsAnUnencodableOne() {
+        SimTime.Process process = time.new Process();
+        time.tolerateUnexpectedErrors();
+        HeartbeatRelay heartbeatRelay =
+                new HeartbeatRelay(process, (address, request, timeout) -> respond(request), () -> 1);
+        TaskStatus unencodable = new TaskStatus("job-\ud800", 0, 1, TaskStage.RUNNING, "");
+        for (int round = 0; round < 4; round++) {
+            CompletableFuture<HttpResponse> faulty =
+                    heartbeatRelay.relay(heartbeat(1, List.of(unencodable)), "leader:1");
+            CompletableFuture<HttpResponse> other = heartbeatRelay.relay(heartbeat(2, List.of()), "leader:1");
+            time.runFor(1_000_000);
+            assertThat(faulty).isCompletedWithValueMatching(each -> each.status() == 503);
+            assertThat(other).isCompletedWithValueMatching(HttpResponse::isOk);
+        }
+    }
 }
--- a/src/test/java/io/sillreel/http/RequestQueueTest.java
+++ b/src/test/java/io/sillreel/http/RequestQueueTest.java
@@ -100,7 +100,7 @@
     /** Guards against one malformed request ending all service: no later request was taken from the queue. */
     @Test
     void servesLaterRequestsAfterAnErrorInOne() {
-        process.tolerateUnexpectedErrors();
+        time.tolerateUnexpectedErrors();
         requestQueue.enqueue(RequestClass.USERS, 1_000, () -> true, () -> {
             throw new StackOverflowError("nested too deep");
         });
--- a/src/test/java/io/sillreel/sim/SimTime.java
+++ b/src/test/java/io/sillreel/sim/SimTime.java
@@ -15,6 +15,12 @@
             Comparator.comparingLong(ScheduledTask::atMicros).thenComparingLong(ScheduledTask::order));
     private long nowMicros = 1_000_000;
     private long order;
+    private boolean toleratesUnexpectedErrors;
+
+    /** Lets the test cause errors; without this call, an error that a process reports ends the test. */
+    public void tolerateUnexpectedErrors() {
+        toleratesUnexpectedErrors = true;
+    }
 
     public long nowMicros() {
         return nowMicros;
@@ -41,12 +47,6 @@
         private long pausedUntilMicros;
         private long processingMicros;
         private final UnexpectedErrors unexpectedErrors = new UnexpectedErrors(this::nowMicros);
-        private boolean toleratesUnexpectedErrors;
-
-        /** Lets the test cause errors; without this call, an error that is reported ends the test. */
-        public void tolerateUnexpectedErrors() {
-            toleratesUnexpectedErrors = true;
-        }
 
         @Override
         public UnexpectedErrors unexpectedErrors() {
