--- a/src/main/java/io/sillreel/ActiveTerm.java
+++ b/src/main/java/io/sillreel/ActiveTerm.java
@@ -60,9 +60,10 @@
     @Override
     public void leadershipLost(String reason) {
         protection.leadershipLost();
-        if (leaderTerm != null) {
-            leaderTerm.close();
-            leaderTerm = null;
+        LeaderTerm endedTerm = leaderTerm;
+        leaderTerm = null;
+        if (endedTerm != null) {
+            endedTerm.close();
         }
     }
 
--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -17,6 +17,7 @@
 import io.sillreel.http.Json;
 import io.sillreel.http.RequestQueue;
 import io.sillreel.http.RequestQueue.RequestClass;
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.leadership.LeaderElection;
 import io.sillreel.leadership.TermServices;
 import io.sillreel.limits.FleetCapacity;
@@ -99,8 +100,15 @@
         this.heartbeatRouter = new HeartbeatRouter(
                 eventLoop, activeTerm, heartbeatRelay, loadBalancer, protection.heartbeatObserver());
         this.healthCheck = new HealthCheck(eventLoop, store, peers, machineTypes, requestQueue);
-        this.helloExchange =
-                new HelloExchange(httpClient, settings, peers, election, healthCheck, loadBalancer, heartbeatRouter);
+        this.helloExchange = new HelloExchange(
+                eventLoop.unexpectedErrors(),
+                httpClient,
+                settings,
+                peers,
+                election,
+                healthCheck,
+                loadBalancer,
+                heartbeatRouter);
     }
 
     private static LostWriteProtection newProtection(
@@ -175,10 +183,13 @@
 
     private void tick() {
         eventLoop.schedule(HelloExchange.INTERVAL_MICROS, this::tick);
-        loadBalancer.rebalance(election.knownLeader().node());
+        UnexpectedErrors errors = eventLoop.unexpectedErrors();
+        errors.runConfined(
+                "balancing the workers",
+                () -> loadBalancer.rebalance(election.knownLeader().node()));
         heartbeatRouter.startNextUnansweredWindow();
-        activeTerm.checkReachability();
-        helloExchange.sendHellos();
+        errors.runConfined("the leader's reachability", activeTerm::checkReachability);
+        errors.runConfined("hellos", helloExchange::sendHellos);
     }
 
     /** The queueing class of a public request: health checks skip the queue, heartbeats have a class of their own. */
--- a/src/main/java/io/sillreel/HelloExchange.java
+++ b/src/main/java/io/sillreel/HelloExchange.java
@@ -5,6 +5,7 @@
 import io.sillreel.http.HttpClient;
 import io.sillreel.http.HttpRequest;
 import io.sillreel.http.HttpResponse;
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.leadership.LeaderElection;
 import io.sillreel.peer.Hello;
 import io.sillreel.peer.HelloCodec;
@@ -22,6 +23,7 @@
 
     private static final long TIMEOUT_MICROS = 900_000;
 
+    private final UnexpectedErrors errors;
     private final HttpClient httpClient;
     private final Settings settings;
     private final Peers peers;
@@ -31,6 +33,7 @@
     private final HeartbeatRouter heartbeatRouter;
 
     HelloExchange(
+            UnexpectedErrors errors,
             HttpClient httpClient,
             Settings settings,
             Peers peers,
@@ -38,6 +41,7 @@
             HealthCheck healthCheck,
             WorkerLoadBalancer loadBalancer,
             HeartbeatRouter heartbeatRouter) {
+        this.errors = errors;
         this.httpClient = httpClient;
         this.settings = settings;
         this.peers = peers;
@@ -55,7 +59,7 @@
                 continue;
             }
             HttpRequest request = HelloCodec.toRequest(ownHello());
-            httpClient.send(member.address(), request, TIMEOUT_MICROS).thenAccept(response -> {
+            errors.whenDone(httpClient.send(member.address(), request, TIMEOUT_MICROS), "a hello", response -> {
                 if (response.isOk()) {
                     receive(HelloCodec.decode(response.body()));
                 }
--- a/src/main/java/io/sillreel/admission/JobStatusReader.java
+++ b/src/main/java/io/sillreel/admission/JobStatusReader.java
@@ -1,5 +1,6 @@
 package io.sillreel.admission;
 
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.pipeline.CancellationRecord;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.PlanOverflow;
@@ -8,6 +9,7 @@
 import io.sillreel.pipeline.RunRecord;
 import io.sillreel.pipeline.RunRecordCodec;
 import io.sillreel.statestore.ReadResult;
+import io.sillreel.statestore.ScanResult;
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.StoreOutcome;
 import io.sillreel.statestore.StoredEntry;
@@ -33,14 +35,16 @@
     private record DependentPlan(long revision, List<String> dependencies) {}
 
     private final StateStore store;
+    private final UnexpectedErrors errors;
     private final JobStatusCache cache;
     private final int maxDependentPlans;
     /** The scan of all plans in progress, shared by all callers, or null. Guarded by {@code this}. */
     private CompletableFuture<Optional<Map<String, DependentPlan>>> pendingScan;
 
     /** @param maxDependentPlans the maximum number of plans of jobs with dependencies that a scan may hold in memory */
-    JobStatusReader(StateStore store, JobStatusCache cache, int maxDependentPlans) {
+    JobStatusReader(StateStore store, UnexpectedErrors errors, JobStatusCache cache, int maxDependentPlans) {
         this.store = store;
+        this.errors = errors;
         this.cache = cache;
         this.maxDependentPlans = maxDependentPlans;
     }
@@ -84,16 +88,19 @@
         Map<String, DependentPlan> plans = new HashMap<>();
         CompletableFuture<Optional<Map<String, DependentPlan>>> result = new CompletableFuture<>();
         pendingScan = result;
-        store.scan(PlanRecord.PREFIX, page -> {
-                    page.forEach(entry -> addDependentPlan(plans, entry));
-                    return CompletableFuture.completedFuture(plans.size() <= maxDependentPlans);
-                })
-                .thenAccept(scan -> {
-                    synchronized (this) {
-                        pendingScan = null;
-                    }
-                    result.complete(scan.outcome() == StoreOutcome.OK ? Optional.of(plans) : Optional.empty());
-                });
+        CompletableFuture<ScanResult> scan = store.scan(PlanRecord.PREFIX, page -> {
+            for (StoredEntry entry : page) {
+                errors.runConfined("the stored value of " + entry.key(), () -> addDependentPlan(plans, entry));
+            }
+            return CompletableFuture.completedFuture(plans.size() <= maxDependentPlans);
+        });
+        scan.whenComplete((scanned, failure) -> {
+            synchronized (this) {
+                pendingScan = null;
+            }
+            boolean isComplete = failure == null && scanned.outcome() == StoreOutcome.OK;
+            result.complete(isComplete ? Optional.of(plans) : Optional.empty());
+        });
         return result;
     }
 
--- a/src/main/java/io/sillreel/admission/JobStatusService.java
+++ b/src/main/java/io/sillreel/admission/JobStatusService.java
@@ -3,6 +3,7 @@
 import io.sillreel.http.EventLoop;
 import io.sillreel.statestore.CommitResult;
 import io.sillreel.statestore.StateStore;
+import io.sillreel.statestore.StoreOutcome;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -44,6 +45,8 @@
     /** Just below the 2 s that users wait for a response. */
     private static final long QUERY_TIMEOUT_MICROS = 1_900_000;
 
+    private static final CommitResult COMPARISON_FAILED = new CommitResult(StoreOutcome.REFUSED, 0, List.of());
+
     /** @param retries the number of times that the query has been retried */
     private record Query(String uid, long startMicros, int retries, CompletableFuture<Optional<JobStatus>> result) {
         Query nextRetry() {
@@ -90,7 +93,8 @@
         this.store = store;
         this.eventLoop = eventLoop;
         this.cache = new JobStatusCache(maxCachedStatuses);
-        this.reader = new JobStatusReader(store, cache, DEPENDENT_PLANS_PER_CACHED_STATUS * maxCachedStatuses);
+        this.reader = new JobStatusReader(
+                store, eventLoop.unexpectedErrors(), cache, DEPENDENT_PLANS_PER_CACHED_STATUS * maxCachedStatuses);
         this.comparison = new RevisionComparison(store, maxTransactionChanges);
     }
 
@@ -167,13 +171,28 @@
             scheduleNextBatch();
             return;
         }
-        comparison.compare(batch.revisions).thenAccept(result -> {
-            synchronized (this) {
-                batchesInFlight--;
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        comparison.compare(batch.revisions),
+                        "the comparison of revisions",
+                        result -> finish(batch, result),
+                        () -> finish(batch, COMPARISON_FAILED));
+    }
+
+    private void finish(Batch batch, CommitResult result) {
+        synchronized (this) {
+            batchesInFlight--;
+        }
+        for (ComparedStatus compared : batch.compared) {
+            boolean isHandled = eventLoop
+                    .unexpectedErrors()
+                    .runConfined("the status of job " + compared.query().uid(), () -> answer(compared, result));
+            if (!isHandled) {
+                compared.query().fail();
             }
-            batch.compared.forEach(compared -> answer(compared, result));
-            scheduleNextBatch();
-        });
+        }
+        scheduleNextBatch();
     }
 
     /** Takes as many queries as fit into one transaction; a query with more conditions than that is compared alone. */
@@ -230,7 +249,7 @@
                 if (store.isUnresponsive()) {
                     query.fail();
                 } else {
-                    reader.load(Set.of(query.uid())).thenAccept(loaded -> answerAfterRead(query, loaded, true));
+                    loadAndAnswer(query, Set.of(query.uid()));
                 }
             }
             default -> query.fail();
@@ -249,10 +268,21 @@
         if (changed.isEmpty()) {
             retry(query);
         } else {
-            reader.load(changed).thenAccept(loaded -> answerAfterRead(query, loaded, changed.contains(query.uid())));
+            loadAndAnswer(query, changed);
         }
     }
 
+    /** Reads the jobs and answers the query; an error fails this query alone. */
+    private void loadAndAnswer(Query query, Set<String> uids) {
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        reader.load(uids),
+                        "the status of job " + query.uid(),
+                        isLoaded -> answerAfterRead(query, isLoaded, uids.contains(query.uid())),
+                        query::fail);
+    }
+
     /** Answers with the status just read if it is the job's own and depends on no other job; otherwise retries. */
     private void answerAfterRead(Query query, boolean isLoaded, boolean isOwnStatusLoaded) {
         JobStatus status = cache.get(query.uid());
@@ -266,13 +296,19 @@
     }
 
     private void loadDependenciesAndRetry(Query query, Set<String> uids) {
-        loadDependencies(query, uids).thenAccept(isLoaded -> {
-            if (isLoaded) {
-                retry(query);
-            } else {
-                query.fail();
-            }
-        });
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        loadDependencies(query, uids),
+                        "the dependencies of job " + query.uid(),
+                        isLoaded -> {
+                            if (isLoaded) {
+                                retry(query);
+                            } else {
+                                query.fail();
+                            }
+                        },
+                        query::fail);
     }
 
     /**
--- a/src/main/java/io/sillreel/cloud/MachineListRequest.java
+++ b/src/main/java/io/sillreel/cloud/MachineListRequest.java
@@ -65,12 +65,16 @@
             return;
         }
         String sinceParameter = lastMachineName.isEmpty() ? "" : "&since=" + lastMachineName;
-        httpClient
-                .send(
-                        address,
-                        HttpRequest.get("/machines?limit=" + PAGE_SIZE + sinceParameter),
-                        CloudClient.TIMEOUT_MICROS)
-                .thenAccept(this::handleResponse);
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        httpClient.send(
+                                address,
+                                HttpRequest.get("/machines?limit=" + PAGE_SIZE + sinceParameter),
+                                CloudClient.TIMEOUT_MICROS),
+                        "a page of the machine list",
+                        this::handleResponse,
+                        () -> complete(Outcome.UNKNOWN));
     }
 
     private void handleResponse(HttpResponse response) {
--- a/src/main/java/io/sillreel/cloud/MachineTypeCatalog.java
+++ b/src/main/java/io/sillreel/cloud/MachineTypeCatalog.java
@@ -41,17 +41,24 @@
      * controller is the leader. Repeats every second until the catalog is filled, then every minute.
      */
     public void start() {
-        store.read().thenAccept(stored -> {
-            update(stored.types());
-            if (types.isEmpty() || isLeader.getAsBoolean()) {
-                fetchFromCloud(stored);
-            }
-            eventLoop.schedule(types.isEmpty() ? RETRY_MICROS : REFRESH_MICROS, this::start);
-        });
+        Runnable scheduleNext = () -> eventLoop.schedule(types.isEmpty() ? RETRY_MICROS : REFRESH_MICROS, this::start);
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        store.read(),
+                        "the stored machine types",
+                        stored -> {
+                            update(stored.types());
+                            if (types.isEmpty() || isLeader.getAsBoolean()) {
+                                fetchFromCloud(stored);
+                            }
+                            scheduleNext.run();
+                        },
+                        scheduleNext);
     }
 
     private void fetchFromCloud(MachineTypeStore.StoredTypes stored) {
-        cloud.listMachineTypes().thenAccept(result -> {
+        eventLoop.unexpectedErrors().whenDone(cloud.listMachineTypes(), "the machine types of the cloud", result -> {
             if (result.outcome() != CloudClient.Outcome.OK || result.list().isEmpty()) {
                 return;
             }
--- a/src/main/java/io/sillreel/fleet/CloudListReconciler.java
+++ b/src/main/java/io/sillreel/fleet/CloudListReconciler.java
@@ -71,16 +71,26 @@
     private void list() {
         isListing = true;
         long requestedMicros = eventLoop.nowMicros();
-        cloud.listMachines().thenAccept(response -> {
-            isListing = false;
-            listedMicros = eventLoop.nowMicros();
-            listPauseMicros = Math.max(MIN_LIST_PAUSE_MICROS, LIST_PAUSE_FACTOR * (listedMicros - requestedMicros));
-            if (response.outcome() == Outcome.OK) {
-                synchronized (cluster) {
-                    reconcile(response.machines(), requestedMicros);
-                }
-            }
-        });
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        cloud.listMachines(),
+                        "the machine list of the cloud",
+                        response -> {
+                            endListing(requestedMicros);
+                            if (response.outcome() == Outcome.OK) {
+                                synchronized (cluster) {
+                                    reconcile(response.machines(), requestedMicros);
+                                }
+                            }
+                        },
+                        () -> endListing(requestedMicros));
+    }
+
+    private void endListing(long requestedMicros) {
+        isListing = false;
+        listedMicros = eventLoop.nowMicros();
+        listPauseMicros = Math.max(MIN_LIST_PAUSE_MICROS, LIST_PAUSE_FACTOR * (listedMicros - requestedMicros));
     }
 
     private void reconcile(List<ListedMachine> listed, long requestedMicros) {
--- a/src/main/java/io/sillreel/fleet/FleetManager.java
+++ b/src/main/java/io/sillreel/fleet/FleetManager.java
@@ -63,7 +63,7 @@
                 callbacks);
         this.cloudListReconciler = new CloudListReconciler(
                 eventLoop, cluster, cloud, registry, settings.cloud().listLagMicros(), callbacks);
-        this.machineReturner = new MachineReturner(cluster, cloud, registry, callbacks);
+        this.machineReturner = new MachineReturner(eventLoop.unexpectedErrors(), cluster, cloud, registry, callbacks);
         this.scaleOut = new ScaleOut(
                 eventLoop, cluster, cloud, writeQueue, registry, capacityPlanner, configuration, callbacks);
     }
--- a/src/main/java/io/sillreel/fleet/MachineReturner.java
+++ b/src/main/java/io/sillreel/fleet/MachineReturner.java
@@ -4,6 +4,7 @@
 import io.sillreel.cloud.CloudClient.Outcome;
 import io.sillreel.cluster.Cluster;
 import io.sillreel.cluster.Machine;
+import io.sillreel.http.UnexpectedErrors;
 import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
@@ -13,13 +14,20 @@
 final class MachineReturner {
     private static final Logger LOG = LoggerFactory.getLogger(MachineReturner.class);
 
+    private final UnexpectedErrors errors;
     private final Cluster cluster;
     private final CloudClient cloud;
     private final FleetRegistry registry;
     private final FleetCallbacks callbacks;
     private boolean isReturnPending;
 
-    MachineReturner(Cluster cluster, CloudClient cloud, FleetRegistry registry, FleetCallbacks callbacks) {
+    MachineReturner(
+            UnexpectedErrors errors,
+            Cluster cluster,
+            CloudClient cloud,
+            FleetRegistry registry,
+            FleetCallbacks callbacks) {
+        this.errors = errors;
         this.cluster = cluster;
         this.cloud = cloud;
         this.registry = registry;
@@ -38,15 +46,19 @@
         isReturnPending = true;
         List<String> names = returnable.stream().map(Machine::name).toList();
         returnable.forEach(Machine::markReturning);
-        cloud.returnMachines(names).thenAccept(outcome -> {
-            isReturnPending = false;
-            if (outcome == Outcome.OK) {
-                synchronized (cluster) {
-                    returnable.forEach(registry::remove);
-                }
-                LOG.info("returned machines {} to the cloud", names);
-            }
-        });
+        errors.whenDone(
+                cloud.returnMachines(names),
+                "the return of machines",
+                outcome -> {
+                    isReturnPending = false;
+                    if (outcome == Outcome.OK) {
+                        synchronized (cluster) {
+                            returnable.forEach(registry::remove);
+                        }
+                        LOG.info("returned machines {} to the cloud", names);
+                    }
+                },
+                () -> isReturnPending = false);
     }
 
     private List<Machine> findReturnableMachines() {
--- a/src/main/java/io/sillreel/fleet/ScaleOut.java
+++ b/src/main/java/io/sillreel/fleet/ScaleOut.java
@@ -160,13 +160,22 @@
             return;
         }
         request.recordSent(eventLoop.nowMicros());
-        cloud.provisionMachines(
-                        request.name(), request.machineType(), request.zone(), request.isSpot(), request.machineCount())
-                .thenAccept(result -> {
-                    synchronized (cluster) {
-                        handleResult(request, result);
-                    }
-                });
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        cloud.provisionMachines(
+                                request.name(),
+                                request.machineType(),
+                                request.zone(),
+                                request.isSpot(),
+                                request.machineCount()),
+                        "the answer to scale-out request " + request.name(),
+                        result -> {
+                            synchronized (cluster) {
+                                handleResult(request, result);
+                            }
+                        },
+                        request::markPossiblyExecuted);
     }
 
     private void handleResult(ScaleOutRequest request, CloudClient.ProvisioningResult result) {
--- a/src/main/java/io/sillreel/http/ConnectionPool.java
+++ b/src/main/java/io/sillreel/http/ConnectionPool.java
@@ -17,10 +17,12 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * The connections of a {@link NettyHttpClient} to one address, and the queue of requests that wait for a connection.
@@ -28,6 +30,8 @@
  */
 final class ConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final int MAX_PORT = 65_535;
+    private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
 
     private final NettyHttpClient client;
     private final EventLoop nettyLoop;
@@ -189,6 +193,15 @@
         return nettyRequest;
     }
 
+    /** True if the text is an IP address and a port. Host names are not looked up, which would block the event loop. */
+    static boolean isAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        return colon > 0
+                && NetUtil.isValidIpV4Address(text.substring(0, colon))
+                && PORT.matcher(text.substring(colon + 1)).matches()
+                && Integer.parseInt(text.substring(colon + 1)) <= MAX_PORT;
+    }
+
     private InetSocketAddress socketAddress() {
         int colon = address.lastIndexOf(':');
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
--- a/src/main/java/io/sillreel/http/NettyHttpClient.java
+++ b/src/main/java/io/sillreel/http/NettyHttpClient.java
@@ -39,6 +39,9 @@
 
     @Override
     public CompletableFuture<HttpResponse> send(String address, HttpRequest request, long timeoutMicros) {
+        if (!ConnectionPool.isAddress(address)) {
+            return CompletableFuture.completedFuture(HttpResponse.notSent());
+        }
         PendingExchange exchange = new PendingExchange(request);
         if (nettyLoop.inEventLoop()) {
             submit(address, exchange, timeoutMicros);
@@ -71,11 +74,11 @@
     }
 
     private void sweep() {
-        closeUnused();
         sweepScheduled = false;
         if (!pools.isEmpty()) {
             scheduleSweep();
         }
+        closeUnused();
     }
 
     /** Closes the connections that have not been used since the previous call. */
--- a/src/main/java/io/sillreel/leadership/AgentClient.java
+++ b/src/main/java/io/sillreel/leadership/AgentClient.java
@@ -8,6 +8,7 @@
 import io.sillreel.http.HttpClient;
 import io.sillreel.http.HttpRequest;
 import io.sillreel.http.HttpResponse;
+import io.sillreel.http.UnexpectedErrors;
 
 /**
  * Sends requests to the agents of machines without waiting for their next heartbeats. A lost request is not retried:
@@ -17,11 +18,13 @@
     private static final long COMMAND_TIMEOUT_MICROS = 3_000_000;
     private static final long STATUS_TIMEOUT_MICROS = 3_000_000;
 
+    private final UnexpectedErrors errors;
     private final HttpClient httpClient;
     private final long term;
     private boolean closed;
 
-    AgentClient(HttpClient httpClient, long term) {
+    AgentClient(UnexpectedErrors errors, HttpClient httpClient, long term) {
+        this.errors = errors;
         this.httpClient = httpClient;
         this.term = term;
     }
@@ -42,7 +45,7 @@
             return;
         }
         HttpRequest request = commands.toRequest(term, machine.heartbeatOrder().epoch());
-        httpClient.send(machine.address(), request, COMMAND_TIMEOUT_MICROS).thenAccept(response -> {
+        errors.whenDone(httpClient.send(machine.address(), request, COMMAND_TIMEOUT_MICROS), "a command", response -> {
             // 409: the fencing token or epoch was stale and no command was executed, but the heartbeat is valid.
             if (!closed && (response.status() == 200 || response.status() == 409)) {
                 processCommandResponse(response, processor);
@@ -61,9 +64,10 @@
         }
         long epoch = machine.heartbeatOrder().epoch();
         long sequence = machine.heartbeatOrder().sequence();
-        httpClient
-                .send(machine.address(), HttpRequest.get(AgentRoutes.STATUS), STATUS_TIMEOUT_MICROS)
-                .thenAccept(response -> {
+        errors.whenDone(
+                httpClient.send(machine.address(), HttpRequest.get(AgentRoutes.STATUS), STATUS_TIMEOUT_MICROS),
+                "a status query",
+                response -> {
                     if (!closed && response.isOk()) {
                         HeartbeatCodec.decode(response.body())
                                 .filter(heartbeat -> heartbeat.machine().equals(machine.name()))
--- a/src/main/java/io/sillreel/leadership/DependencyLookup.java
+++ b/src/main/java/io/sillreel/leadership/DependencyLookup.java
@@ -5,6 +5,7 @@
 import io.sillreel.pipeline.DependencyGraph;
 import io.sillreel.pipeline.RunRecord;
 import io.sillreel.pipeline.RunRecordCodec;
+import io.sillreel.statestore.ReadResult;
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.StoreOutcome;
 import java.util.Collections;
@@ -61,21 +62,33 @@
             dependencies.markExternalDone(uid);
             return;
         }
-        store.get(RunRecord.key(uid)).thenAccept(read -> {
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        store.get(RunRecord.key(uid)),
+                        "the look-up of job " + uid,
+                        read -> handleRead(uid, read),
+                        () -> scheduleLookUp(uid));
+    }
+
+    private void handleRead(String uid, ReadResult read) {
+        synchronized (cluster) {
+            if (read.outcome() == StoreOutcome.OK
+                    && RunRecordCodec.isDone(read.entry().orElseThrow().value())) {
+                recordDone(uid);
+                dependencies.markExternalDone(uid);
+                return;
+            }
+        }
+        // The read failed, or the job is neither done nor active here: the watch may still deliver its plan.
+        scheduleLookUp(uid);
+    }
+
+    private void scheduleLookUp(String uid) {
+        eventLoop.schedule(RETRY_MICROS, () -> {
             synchronized (cluster) {
-                if (read.outcome() == StoreOutcome.OK
-                        && RunRecordCodec.isDone(read.entry().orElseThrow().value())) {
-                    recordDone(uid);
-                    dependencies.markExternalDone(uid);
-                    return;
-                }
+                lookUp(uid);
             }
-            // The read failed, or the job is neither done nor active here: the watch may still deliver its plan.
-            eventLoop.schedule(RETRY_MICROS, () -> {
-                synchronized (cluster) {
-                    lookUp(uid);
-                }
-            });
         });
     }
 }
--- a/src/main/java/io/sillreel/leadership/LeaderElection.java
+++ b/src/main/java/io/sillreel/leadership/LeaderElection.java
@@ -8,6 +8,8 @@
 import io.sillreel.statestore.Transaction;
 import io.sillreel.statestore.WatchEvent;
 import io.sillreel.statestore.WatchResult;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -47,6 +49,8 @@
     private static final int WATCHES_PER_READ = 10;
 
     private static final long RETRY_MICROS = 300_000;
+    /** How long a controller stays out of elections after an error, so that another one can be elected. */
+    private static final long PAUSE_AFTER_ERROR_MICROS = 10_000_000;
 
     private final StateStore store;
     private final EventLoop eventLoop;
@@ -54,13 +58,12 @@
     private final long leaseMicros;
     private final LongSupplier termFloor;
     private final HeldLease lease;
+    private final LeaseRenewal renewal;
 
     private Listener listener;
     private Runnable initialElectionCallback = () -> {};
     /** Guarded by this. */
     private Leader knownLeader = new Leader(null, 0);
-    /** Guarded by this. */
-    private boolean renewing;
 
     private int watchCount;
     /** Guarded by this. */
@@ -78,6 +81,8 @@
         this.leaseMicros = leaseMicros;
         this.termFloor = termFloor;
         this.lease = new HeldLease(eventLoop, leaseMicros);
+        // The watch may not report the removal of the key, so no leader is known once the lease has expired.
+        this.renewal = new LeaseRenewal(store, eventLoop, lease, leaseMicros, this::recordVacancy);
     }
 
     /**
@@ -145,6 +150,12 @@
         }
     }
 
+    /** Resigns after an unexpected error and stays out of elections for some time. */
+    void resignAfterError(String reason) {
+        pauseCandidacy(PAUSE_AFTER_ERROR_MICROS);
+        resign(reason);
+    }
+
     /** Stays out of elections for the given time, so that another controller can be elected. */
     public synchronized void pauseCandidacy(long durationMicros) {
         candidacyResumesMicros = eventLoop.nowMicros() + durationMicros;
@@ -155,7 +166,7 @@
     }
 
     private void readLeaderKey() {
-        store.list(LEADER_KEY).thenAccept(listing -> {
+        whenDone(store.list(LEADER_KEY), "the read of the leader key", listing -> {
             if (listing.outcome() != StoreOutcome.OK) {
                 notifyInitialElectionCompleted();
                 eventLoop.schedule(RETRY_MICROS, this::readLeaderKey);
@@ -181,8 +192,15 @@
         });
     }
 
+    /** After an error, the election starts again with a read of the leader key. */
+    private <T> void whenDone(CompletableFuture<T> future, String work, Consumer<T> callback) {
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(future, work, callback, () -> eventLoop.schedule(RETRY_MICROS, this::readLeaderKey));
+    }
+
     private void watchLeaderKey(long sinceRevision) {
-        store.watch(LEADER_KEY, sinceRevision, WATCH_BLOCK_MICROS).thenAccept(result -> {
+        whenDone(store.watch(LEADER_KEY, sinceRevision, WATCH_BLOCK_MICROS), "the watch of the leader key", result -> {
             if (result.outcome() != StoreOutcome.OK) {
                 eventLoop.schedule(RETRY_MICROS, this::readLeaderKey);
                 return;
@@ -240,13 +258,13 @@
             watchLeaderKey(storeRevision);
             return;
         }
-        store.grantLease(leaseMicros).thenAccept(grant -> {
+        whenDone(store.grantLease(leaseMicros), "the grant of a lease", grant -> {
             if (grant.outcome() != StoreOutcome.OK) {
                 notifyInitialElectionCompleted();
                 eventLoop.schedule(RETRY_MICROS, this::readLeaderKey);
                 return;
             }
-            store.get(TERM_KEY).thenAccept(read -> {
+            whenDone(store.get(TERM_KEY), "the read of the term", read -> {
                 if (!read.isConclusive()) {
                     notifyInitialElectionCompleted();
                     store.revokeLease(grant.leaseId());
@@ -279,7 +297,7 @@
                 .requireRevision(TERM_KEY, termRead.revision())
                 .set(LEADER_KEY, LeaderKeyCodec.writeLeader(self), leaseId)
                 .set(TERM_KEY, LeaderKeyCodec.writeTerm(term));
-        store.commit(transaction).thenAccept(commit -> {
+        whenDone(store.commit(transaction), "the result of an election", commit -> {
             if (commit.outcome() != StoreOutcome.OK) {
                 // Lost the race, or the outcome is unknown: revoking the lease also undoes a late success.
                 store.revokeLease(leaseId);
@@ -291,41 +309,21 @@
                 knownLeader = self;
             }
             LOG.info("acquired leadership: term {}", term);
-            listener.leadershipAcquired(new TermGrant(term, commit.storeRevision()));
+            beginTerm(new TermGrant(term, commit.storeRevision()));
             notifyInitialElectionCompleted();
-            eventLoop.schedule(leaseMicros / 3, this::renewLease);
+            renewal.start();
             watchLeaderKey(commit.storeRevision());
         });
     }
 
-    private void renewLease() {
-        long leaseId = lease.leaseId();
-        synchronized (this) {
-            if (heldTerm() == 0 || renewing) {
-                return;
-            }
-            renewing = true;
+    /** A controller that can't begin its term lets another one lead. */
+    private void beginTerm(TermGrant grant) {
+        boolean hasBegun = eventLoop
+                .unexpectedErrors()
+                .runConfined("the beginning of term " + grant.term(), () -> listener.leadershipAcquired(grant));
+        if (!hasBegun) {
+            resignAfterError("the term could not begin");
         }
-        long sentMicros = eventLoop.nowMicros();
-        store.renewLease(leaseId).thenAccept(outcome -> {
-            synchronized (this) {
-                renewing = false;
-            }
-            if (!lease.isHeld(leaseId)) {
-                return;
-            }
-            if (outcome == StoreOutcome.NOT_FOUND) {
-                // The watch may not report the removal of the key, so no leader is known any more.
-                recordVacancy();
-                return;
-            }
-            if (outcome == StoreOutcome.OK) {
-                lease.renewed(sentMicros);
-            }
-            long delayMicros =
-                    outcome == StoreOutcome.OK ? leaseMicros / 3 - (eventLoop.nowMicros() - sentMicros) : RETRY_MICROS;
-            eventLoop.schedule(Math.max(delayMicros, RETRY_MICROS / 3), this::renewLease);
-        });
     }
 
     private void loseLeadership(String reason) {
--- a/src/main/java/io/sillreel/leadership/LeaderJobs.java
+++ b/src/main/java/io/sillreel/leadership/LeaderJobs.java
@@ -69,7 +69,10 @@
         state.recentlyDone().forEach(plan -> capacity.recordArrival(plan.spec(), plan.admittedWallMicros()));
         enqueueWrites(state.obsoleteChunkRemovals());
         List<ActiveJob> unfinished = new ArrayList<>();
-        state.unfinished().forEach(stored -> unfinished.add(restoreJob(stored)));
+        for (StoredJob stored : state.unfinished()) {
+            String work = "the restoration of job " + stored.plan().spec().uid();
+            eventLoop.unexpectedErrors().runConfined(work, () -> unfinished.add(restoreJob(stored)));
+        }
         dependencies.restore(unfinished, state.done()::contains, uid -> cancelledUids.contains(uid));
         unfinished.forEach(inheritance::propagateUrgency);
     }
@@ -113,7 +116,8 @@
 
     /** Adds a job that was admitted during the term, once the overflow values of its plan have been read. */
     void addAdmittedJob(PlanRecord plan, long revision) {
-        PlanOverflow.load(plan, store).thenAccept(completePlan -> {
+        String work = "the plan of job " + plan.spec().uid();
+        eventLoop.unexpectedErrors().whenDone(PlanOverflow.load(plan, store), work, completePlan -> {
             if (closed) {
                 return;
             }
--- a/src/main/java/io/sillreel/leadership/LeaderTerm.java
+++ b/src/main/java/io/sillreel/leadership/LeaderTerm.java
@@ -21,6 +21,7 @@
 import io.sillreel.heartbeat.UnresponsiveMachines;
 import io.sillreel.http.EventLoop;
 import io.sillreel.http.HttpResponse;
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.peer.Peers;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.LiveTaskCounts;
@@ -100,7 +101,7 @@
         this.authority = new LeaderAuthority(eventLoop, election, changes, settings.workers(), term);
         this.status = new LeaderStatus(eventLoop, term, cluster, capacity, writeQueue);
         this.reachability = new LeaderReachability(eventLoop, settings, election, peers, cluster);
-        this.agentClient = new AgentClient(services.httpClient(), term);
+        this.agentClient = new AgentClient(eventLoop.unexpectedErrors(), services.httpClient(), term);
         this.heartbeatProcessor = newHeartbeatProcessor(configuration.operator(), planner);
         this.fleet = newFleet(services, configuration);
         this.schedulingCycle = newSchedulingCycle(planner);
@@ -173,7 +174,8 @@
                 firstVersionMaxValueBytes,
                 configuration.machineTypes(),
                 authority,
-                this::beginLeading);
+                this::beginLeading,
+                () -> election.resignAfterError("the stored state can't be restored"));
     }
 
     /** Begins to read the stored state; heartbeats are answered once it is loaded. */
@@ -255,15 +257,20 @@
         }
         eventLoop.schedule(TICK_MICROS, this::tick);
         long now = eventLoop.nowMicros();
-        schedulingCycle.tick(now);
+        UnexpectedErrors errors = eventLoop.unexpectedErrors();
+        errors.runConfined("the scheduling cycle", () -> schedulingCycle.tick(now));
         if (authority.mayLaunchOrScale() && now - fleetCycleMicros > FLEET_CYCLE_MICROS) {
             fleetCycleMicros = now;
-            synchronized (cluster) {
-                stragglerDetector.drainStragglers(now);
-            }
-            fleet.runCycle();
-            jobs.removeCancelledJobs();
-            status.logPeriodically();
+            errors.runConfined("the search for stragglers", () -> drainStragglers(now));
+            errors.runConfined("the fleet cycle", fleet::runCycle);
+            errors.runConfined("the removal of cancelled jobs", jobs::removeCancelledJobs);
+            errors.runConfined("the periodic status", status::logPeriodically);
+        }
+    }
+
+    private void drainStragglers(long now) {
+        synchronized (cluster) {
+            stragglerDetector.drainStragglers(now);
         }
     }
 
--- a/src/main/java/io/sillreel/leadership/SchedulingCycle.java
+++ b/src/main/java/io/sillreel/leadership/SchedulingCycle.java
@@ -79,7 +79,8 @@
             if (now - lastPlanStartMicros > MAX_PLAN_INTERVAL_MICROS) {
                 requests.requestPlan();
             }
-            planIfDue();
+            // Whatever a plan fails at, cancelled tasks still have to be stopped.
+            eventLoop.unexpectedErrors().runConfined("a placement plan", this::planIfDue);
             requests.requestCommands(interruptionDrain.stopInterruptedTasks(now));
             // Only a few per tick: the others get their commands in the responses to their next heartbeats anyway.
             machinesToCommand = requests.takeMachinesToCommand(MAX_COMMANDS_PER_TICK);
--- a/src/main/java/io/sillreel/leadership/StoredChangeWatcher.java
+++ b/src/main/java/io/sillreel/leadership/StoredChangeWatcher.java
@@ -7,6 +7,7 @@
 import io.sillreel.pipeline.PlanRecordCodec;
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.WatchEvent;
+import io.sillreel.statestore.WatchResult;
 
 /**
  * Watches the plans and cancellations that the controllers store, until the term ends. Runs on the event loop; changes
@@ -76,23 +77,37 @@
                 return;
             }
             long sentMicros = eventLoop.nowMicros();
-            store.watch(prefix, sinceRevision, blockMicros).thenAccept(result -> {
-                if (closed) {
-                    return;
-                }
-                switch (result.outcome()) {
-                    case OK -> {
-                        synchronized (cluster) {
-                            result.events().forEach(this::apply);
-                        }
-                        caughtUp(sentMicros);
-                        run(result.storeRevision());
+            Runnable retry = () -> eventLoop.schedule(RETRY_MICROS, () -> run(sinceRevision));
+            eventLoop
+                    .unexpectedErrors()
+                    .whenDone(
+                            store.watch(prefix, sinceRevision, blockMicros),
+                            "the watch of " + prefix,
+                            result -> handle(result, sentMicros, retry),
+                            retry);
+        }
+
+        private void handle(WatchResult result, long sentMicros, Runnable retry) {
+            if (closed) {
+                return;
+            }
+            switch (result.outcome()) {
+                case OK -> {
+                    synchronized (cluster) {
+                        result.events().forEach(this::applyConfined);
                     }
-                    // The missed changes are no longer available; the next term reads the whole state again.
-                    case COMPACTED -> election.resign("the watch of " + prefix + " was compacted");
-                    default -> eventLoop.schedule(RETRY_MICROS, () -> run(sinceRevision));
+                    caughtUp(sentMicros);
+                    run(result.storeRevision());
                 }
-            });
+                // The missed changes are no longer available; the next term reads the whole state again.
+                case COMPACTED -> election.resign("the watch of " + prefix + " was compacted");
+                default -> retry.run();
+            }
+        }
+
+        /** An error with one change must not hold up the others. The next term reads the change again. */
+        private void applyConfined(WatchEvent change) {
+            eventLoop.unexpectedErrors().runConfined("the change of " + change.key(), () -> apply(change));
         }
     }
 
--- a/src/main/java/io/sillreel/leadership/StoredJobsAssembler.java
+++ b/src/main/java/io/sillreel/leadership/StoredJobsAssembler.java
@@ -3,6 +3,7 @@
 import static io.sillreel.leadership.StoredStateReader.keySuffix;
 
 import io.sillreel.cluster.ScaleOutRequest;
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.leadership.StoredState.StoredJob;
 import io.sillreel.pipeline.ChunkKey;
 import io.sillreel.pipeline.JobIdSet;
@@ -18,8 +19,10 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongPredicate;
 
@@ -32,6 +35,7 @@
 final class StoredJobsAssembler {
     private record StoredRunRecord(RunRecord runRecord, long revision) {}
 
+    private final UnexpectedErrors errors;
     private final int firstVersionTasksPerChunk;
     private final LongPredicate countsAsDemand;
     private final JobIdSet done = new JobIdSet();
@@ -41,6 +45,9 @@
     private final List<PlanRecord> recentlyDone = new ArrayList<>();
     private final Deque<StoredEntry> unclassifiedPlans = new ArrayDeque<>();
     private CompletableFuture<Boolean> pageClassified = CompletableFuture.completedFuture(true);
+    /** Ids of the jobs with an entry that can't be decoded. */
+    private final Set<String> undecodable = new HashSet<>();
+
     private String lastRunRecordUid = "";
     private boolean allRunRecordsRead;
     private boolean runRecordsFailed;
@@ -49,7 +56,8 @@
      * @param firstVersionTasksPerChunk how many tasks the first version stored in one chunk of a completion bitmap
      * @param countsAsDemand true for an admission time (wall clock, in microseconds) that still counts as demand
      */
-    StoredJobsAssembler(int firstVersionTasksPerChunk, LongPredicate countsAsDemand) {
+    StoredJobsAssembler(UnexpectedErrors errors, int firstVersionTasksPerChunk, LongPredicate countsAsDemand) {
+        this.errors = errors;
         this.firstVersionTasksPerChunk = firstVersionTasksPerChunk;
         this.countsAsDemand = countsAsDemand;
     }
@@ -59,18 +67,30 @@
         for (StoredEntry entry : page) {
             String suffix = keySuffix(RunRecord.PREFIX, entry);
             int slash = suffix.indexOf('/');
-            if (slash >= 0) {
-                addChunk(suffix.substring(0, slash), entry);
-            } else if (RunRecordCodec.isDone(entry.value())) {
-                done.add(suffix);
-            } else {
-                runRecords.put(suffix, new StoredRunRecord(RunRecordCodec.decode(entry.value()), entry.revision()));
-            }
+            String uid = slash >= 0 ? suffix.substring(0, slash) : suffix;
+            addConfined(uid, entry, () -> addRunRecord(suffix, slash, entry));
             lastRunRecordUid = suffix;
         }
         classifyReadyPlans();
     }
 
+    private void addRunRecord(String suffix, int slash, StoredEntry entry) {
+        if (slash >= 0) {
+            addChunk(suffix.substring(0, slash), entry);
+        } else if (RunRecordCodec.isDone(entry.value())) {
+            done.add(suffix);
+        } else {
+            runRecords.put(suffix, new StoredRunRecord(RunRecordCodec.decode(entry.value()), entry.revision()));
+        }
+    }
+
+    /** A job with an entry that can't be decoded is left out: it stays stored, and all others are restored. */
+    private void addConfined(String uid, StoredEntry entry, Runnable add) {
+        if (!errors.runConfined("the stored value of " + entry.key(), add)) {
+            undecodable.add(uid);
+        }
+    }
+
     /**
      * Ends the scan of run records.
      *
@@ -101,7 +121,10 @@
 
     /** Adds a page of completion bitmap chunks. */
     void addChunks(List<StoredEntry> page) {
-        page.forEach(entry -> addChunk(ChunkKey.uid(entry.key()), entry));
+        for (StoredEntry entry : page) {
+            String uid = ChunkKey.uid(entry.key());
+            addConfined(uid, entry, () -> addChunk(uid, entry));
+        }
     }
 
     private void addChunk(String uid, StoredEntry entry) {
@@ -116,7 +139,8 @@
                         || keySuffix(PlanRecord.PREFIX, unclassifiedPlans.peek())
                                         .compareTo(lastRunRecordUid)
                                 <= 0)) {
-            classify(unclassifiedPlans.poll());
+            StoredEntry plan = unclassifiedPlans.poll();
+            addConfined(keySuffix(PlanRecord.PREFIX, plan), plan, () -> classify(plan));
         }
         if (unclassifiedPlans.isEmpty()) {
             pageClassified.complete(true);
@@ -144,6 +168,7 @@
             List<ScaleOutRequest> scaleOutRequests,
             long plansRevision,
             long cancellationsRevision) {
+        unfinished.removeIf(job -> undecodable.contains(job.plan().spec().uid()));
         unfinished.sort(Comparator.comparingLong(StoredJob::planRevision));
         // The demand estimate keeps the latest arrivals, so they have to be recorded last.
         recentlyDone.sort(Comparator.comparingLong(PlanRecord::admittedWallMicros));
--- a/src/main/java/io/sillreel/leadership/StoredStateLoader.java
+++ b/src/main/java/io/sillreel/leadership/StoredStateLoader.java
@@ -5,6 +5,7 @@
 import io.sillreel.placement.DemandEstimator;
 import io.sillreel.statestore.StateStore;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
@@ -24,10 +25,12 @@
     private final Supplier<Map<String, MachineType>> machineTypes;
     private final LeaderAuthority authority;
     private final Receiver receiver;
+    private final Runnable onError;
 
     /**
      * @param firstVersionMaxValueBytes the value size limit by which the first version split completion bitmaps
      * @param machineTypes the machine types of the cloud; reading starts once they are known
+     * @param onError ends the term, which would otherwise hold the lease without ever serving
      */
     StoredStateLoader(
             EventLoop eventLoop,
@@ -35,13 +38,15 @@
             int firstVersionMaxValueBytes,
             Supplier<Map<String, MachineType>> machineTypes,
             LeaderAuthority authority,
-            Receiver receiver) {
+            Receiver receiver,
+            Runnable onError) {
         this.eventLoop = eventLoop;
         this.store = store;
         this.firstVersionMaxValueBytes = firstVersionMaxValueBytes;
         this.machineTypes = machineTypes;
         this.authority = authority;
         this.receiver = receiver;
+        this.onError = onError;
     }
 
     void load() {
@@ -54,17 +59,25 @@
         }
         long sentMicros = eventLoop.nowMicros();
         LongPredicate countsAsDemand = admitted -> DemandEstimator.isWithinWindow(admitted, eventLoop.wallMicros());
-        new StoredStateReader(store, firstVersionMaxValueBytes, countsAsDemand, () -> !authority.isClosed())
-                .read()
-                .thenAccept(state -> {
-                    if (authority.isClosed()) {
-                        return;
-                    }
-                    if (state.isEmpty()) {
-                        eventLoop.schedule(RETRY_MICROS, this::load);
-                        return;
-                    }
-                    receiver.stateRead(state.get(), sentMicros);
-                });
+        StoredStateReader reader = new StoredStateReader(
+                store,
+                eventLoop.unexpectedErrors(),
+                firstVersionMaxValueBytes,
+                countsAsDemand,
+                () -> !authority.isClosed());
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(reader.read(), "the stored state", state -> handle(state, sentMicros), onError);
+    }
+
+    private void handle(Optional<StoredState> state, long sentMicros) {
+        if (authority.isClosed()) {
+            return;
+        }
+        if (state.isEmpty()) {
+            eventLoop.schedule(RETRY_MICROS, this::load);
+            return;
+        }
+        receiver.stateRead(state.get(), sentMicros);
     }
 }
--- a/src/main/java/io/sillreel/leadership/StoredStateReader.java
+++ b/src/main/java/io/sillreel/leadership/StoredStateReader.java
@@ -2,6 +2,7 @@
 
 import io.sillreel.cluster.ScaleOutRequest;
 import io.sillreel.cluster.ScaleOutRequestCodec;
+import io.sillreel.http.UnexpectedErrors;
 import io.sillreel.pipeline.CancellationRecord;
 import io.sillreel.pipeline.ChunkKey;
 import io.sillreel.pipeline.CompletionBitmapCodec;
@@ -29,6 +30,7 @@
  */
 final class StoredStateReader {
     private final StateStore store;
+    private final UnexpectedErrors errors;
     private final int firstVersionTasksPerChunk;
     private final LongPredicate countsAsDemand;
     private final BooleanSupplier isStillNeeded;
@@ -40,10 +42,12 @@
      */
     StoredStateReader(
             StateStore store,
+            UnexpectedErrors errors,
             int firstVersionMaxValueBytes,
             LongPredicate countsAsDemand,
             BooleanSupplier isStillNeeded) {
         this.store = store;
+        this.errors = errors;
         this.firstVersionTasksPerChunk = CompletionBitmapCodec.tasksPerChunk(firstVersionMaxValueBytes);
         this.countsAsDemand = countsAsDemand;
         this.isStillNeeded = isStillNeeded;
@@ -51,7 +55,7 @@
 
     /** Reads the whole state; completes empty if any read failed. */
     CompletableFuture<Optional<StoredState>> read() {
-        StoredJobsAssembler jobs = new StoredJobsAssembler(firstVersionTasksPerChunk, countsAsDemand);
+        StoredJobsAssembler jobs = new StoredJobsAssembler(errors, firstVersionTasksPerChunk, countsAsDemand);
         JobIdSet cancelled = new JobIdSet();
         List<ScaleOutRequest> scaleOutRequests = new ArrayList<>();
         CompletableFuture<ScanResult> runRecords = scan(RunRecord.PREFIX, jobs::addRunRecords);
@@ -59,9 +63,8 @@
                 PlanRecord.PREFIX,
                 page -> jobs.addPlans(page).thenApply(classified -> classified && isStillNeeded.getAsBoolean()));
         CompletableFuture<ScanResult> chunks = scan(ChunkKey.PREFIX, jobs::addChunks);
-        CompletableFuture<ScanResult> cancellations = scan(
-                CancellationRecord.PREFIX,
-                page -> page.forEach(entry -> cancelled.add(keySuffix(CancellationRecord.PREFIX, entry))));
+        CompletableFuture<ScanResult> cancellations =
+                scan(CancellationRecord.PREFIX, page -> page.forEach(entry -> addCancelled(cancelled, entry)));
         CompletableFuture<ScanResult> requests = scan(
                 ScaleOutRequest.PREFIX,
                 page -> page.forEach(entry -> scaleOutRequests.add(
@@ -80,6 +83,12 @@
         });
     }
 
+    /** A key that names no job cancels none, and must not keep a leader from reading the others. */
+    private void addCancelled(JobIdSet cancelled, StoredEntry entry) {
+        errors.runConfined(
+                "the cancellation " + entry.key(), () -> cancelled.add(keySuffix(CancellationRecord.PREFIX, entry)));
+    }
+
     private CompletableFuture<ScanResult> scan(String prefix, Consumer<List<StoredEntry>> pageConsumer) {
         return store.scan(prefix, page -> {
             pageConsumer.accept(page);
--- a/src/main/java/io/sillreel/statestore/PrefixScan.java
+++ b/src/main/java/io/sillreel/statestore/PrefixScan.java
@@ -5,12 +5,10 @@
 import io.sillreel.http.HttpRequest;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.function.Consumer;
 
 /** Reads the entries under a prefix page by page. Only one page is requested at a time, so the fields need no lock. */
 final class PrefixScan {
-    private static final Logger LOG = LoggerFactory.getLogger(PrefixScan.class);
     private static final long PAGE_TIMEOUT_MICROS = 1_500_000;
     /** Limits the time of one event loop task: a page is processed in one task, which delays lease renewal. */
     private static final int PAGE_SIZE = 200;
@@ -54,7 +52,7 @@
     private void requestPage() {
         if (transport.tryAcquireRequest()) {
             HttpRequest request = StateStoreCodec.pageRequest(prefix, lastKey, PAGE_SIZE);
-            transport.sendAcquired(request, PAGE_TIMEOUT_MICROS).thenAccept(response -> {
+            whenDone(transport.sendAcquired(request, PAGE_TIMEOUT_MICROS), response -> {
                 StoreOutcome outcome = transport.recordOutcome(response);
                 if (outcome == StoreOutcome.OK) {
                     handlePage(response.json());
@@ -87,7 +85,7 @@
             firstPageRevision = StateStoreCodec.storeRevision(body);
         }
         boolean hasMore = StateStoreCodec.isTruncated(body) && !entries.isEmpty();
-        passToConsumer(entries).thenAccept(mayContinue -> {
+        whenDone(consumer.accept(entries), mayContinue -> {
             if (!mayContinue) {
                 finish(StoreOutcome.REFUSED, 0);
             } else if (hasMore) {
@@ -99,14 +97,12 @@
         });
     }
 
-    /** An exception thrown by the consumer ends the scan, so that the caller's future completes. */
-    private CompletableFuture<Boolean> passToConsumer(List<StoredEntry> entries) {
-        try {
-            return consumer.accept(entries);
-        } catch (RuntimeException e) {
-            LOG.error("failed to process a page of the keys under {}", prefix, e);
-            return CompletableFuture.completedFuture(false);
-        }
+    /** An error with a page, here or in the consumer, ends the scan, so that the caller's future completes. */
+    private <T> void whenDone(CompletableFuture<T> future, Consumer<T> callback) {
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        future, "a page of the keys under " + prefix, callback, () -> finish(StoreOutcome.REFUSED, 0));
     }
 
     private void finish(StoreOutcome outcome, long storeRevision) {
--- a/src/main/java/io/sillreel/statestore/WriteQueue.java
+++ b/src/main/java/io/sillreel/statestore/WriteQueue.java
@@ -1,6 +1,7 @@
 package io.sillreel.statestore;
 
 import io.sillreel.http.EventLoop;
+import io.sillreel.http.UnexpectedErrors;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -114,6 +115,13 @@
     }
 
     private void writeNextBatch() {
+        UnexpectedErrors errors = eventLoop.unexpectedErrors();
+        if (!errors.runConfined("a batch of writes", this::sendNextBatch)) {
+            scheduleNextWrite(RETRY_DELAY_MICROS);
+        }
+    }
+
+    private void sendNextBatch() {
         WriteBatch batch;
         synchronized (this) {
             if (closed || backlog.isEmpty()) {
@@ -126,7 +134,13 @@
             scheduleNextWrite(RATE_LIMITED_DELAY_MICROS);
             return;
         }
-        store.commit(batch.transaction()).thenAccept(commit -> handleResult(batch.writes(), commit));
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        store.commit(batch.transaction()),
+                        "the result of a batch of writes",
+                        commit -> handleResult(batch.writes(), commit),
+                        () -> handleResult(batch.writes(), new CommitResult(StoreOutcome.UNKNOWN, 0, List.of())));
     }
 
     /** Takes as many due writes from the backlog as may be sent now. */
@@ -138,21 +152,36 @@
             // Read before change(), after which the write regards its urgent part as sent.
             boolean isProgress = write.urgency() == WriteUrgency.PROGRESS;
             double allowed = isProgress ? available - PROGRESS_RESERVED_FRACTION * burst : available;
+            if (!takeWrite(write, batch, Math.min(maxChangesPerTransaction, allowed))) {
+                break;
+            }
+        }
+        return batch;
+    }
+
+    /**
+     * Moves a write from the backlog to the batch, or its prerequisites to the backlog. A write that can't be encoded
+     * is dropped until it is queued again, since it would hold up all others.
+     *
+     * @return false if the batch has no room for it
+     */
+    private boolean takeWrite(PendingWrite write, WriteBatch batch, double maxChanges) {
+        try {
             List<PendingWrite> prerequisites = write.prerequisites();
             if (!prerequisites.isEmpty()) {
                 backlog.remove(write);
                 prerequisites.forEach(this::add);
-                continue;
+                return true;
             }
             KeyChange change = write.change();
-            if (!change.isNone()
-                    && !batch.tryAdd(
-                            write, change, backlog.isExclusive(write), Math.min(maxChangesPerTransaction, allowed))) {
-                break;
+            if (!change.isNone() && !batch.tryAdd(write, change, backlog.isExclusive(write), maxChanges)) {
+                return false;
             }
-            backlog.remove(write);
+        } catch (Throwable e) {
+            eventLoop.unexpectedErrors().report("the write of " + write.key(), e);
         }
-        return batch;
+        backlog.remove(write);
+        return true;
     }
 
     private synchronized boolean isClosed() {
@@ -223,13 +252,11 @@
         writes.forEach(write -> backlog.setExclusive(write, exclusive));
     }
 
-    /** Runs a callback; an exception thrown by it must not prevent other writes. */
-    private static void notifyResult(PendingWrite write, Consumer<PendingWrite> callback) {
-        try {
-            callback.accept(write);
-        } catch (RuntimeException e) {
-            LOG.error("failed to process the result of the write of {}", write.key(), e);
-        }
+    /** Runs a callback; an error in it must not prevent other writes. */
+    private void notifyResult(PendingWrite write, Consumer<PendingWrite> callback) {
+        eventLoop
+                .unexpectedErrors()
+                .runConfined("the result of the write of " + write.key(), () -> callback.accept(write));
     }
 
     /**
@@ -243,15 +270,28 @@
         }
         List<CompletableFuture<ReadResult>> reads = new ArrayList<>();
         writes.forEach(write -> reads.add(store.get(write.key())));
-        CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new)).thenRun(() -> {
-            for (int i = 0; i < writes.size(); i++) {
-                ReadResult read = reads.get(i).join();
-                if (read.isConclusive()) {
-                    writes.get(i).onConflict(read.revision());
-                }
-                add(writes.get(i));
-            }
+        Runnable retryAll = () -> {
+            writes.forEach(this::add);
             scheduleNextWrite(RETRY_DELAY_MICROS);
-        });
+        };
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new)),
+                        "the revisions of a batch of writes",
+                        all -> {
+                            for (int i = 0; i < writes.size(); i++) {
+                                requeue(writes.get(i), reads.get(i).join());
+                            }
+                            scheduleNextWrite(RETRY_DELAY_MICROS);
+                        },
+                        retryAll);
+    }
+
+    private void requeue(PendingWrite write, ReadResult read) {
+        if (read.isConclusive()) {
+            notifyResult(write, conflicting -> conflicting.onConflict(read.revision()));
+        }
+        add(write);
     }
 }
--- a/src/test/java/io/sillreel/http/HttpTest.java
+++ b/src/test/java/io/sillreel/http/HttpTest.java
@@ -197,4 +197,14 @@
         }
         assertThat(eventLoop.unexpectedErrors().count()).isEqualTo(2);
     }
+
+    /** Guards the scheduling cycle against an address that a machine reports and that is none. */
+    @Test
+    void completesRequestToAMalformedAddressWithoutSendingIt() {
+        for (String address : List.of("", "nowhere", "10.0.0.1", "10.0.0.1:", "10.0.0.1:99999", "name.invalid:80")) {
+            assertThat(client.send(address, HttpRequest.get("/"), SHORT_TIMEOUT_MICROS))
+                    .succeedsWithin(SHORT_TIMEOUT_MICROS, TimeUnit.MICROSECONDS)
+                    .returns(HttpResponse.NOT_SENT, HttpResponse::status);
+        }
+    }
 }
--- a/src/test/java/io/sillreel/leadership/StoredStateReaderTest.java
+++ b/src/test/java/io/sillreel/leadership/StoredStateReaderTest.java
@@ -75,8 +75,9 @@
         });
         SimTime.Process process = time.new Process();
         StateStore store = network.newStateStoreClient(process, 1_000, 1_000);
-        CompletableFuture<Optional<StoredState>> read =
-                new StoredStateReader(store, VALUE_BYTES, admitted -> false, () -> true).read();
+        CompletableFuture<Optional<StoredState>> read = new StoredStateReader(
+                        store, process.unexpectedErrors(), VALUE_BYTES, admitted -> false, () -> true)
+                .read();
         time.runFor(120_000_000);
         StoredState stored = read.join().orElseThrow();
         assertThat(stored.unfinished().stream().map(job -> job.plan().spec().uid()))
@@ -103,7 +104,11 @@
         });
         SimTime.Process process = time.new Process();
         CompletableFuture<Optional<StoredState>> read = new StoredStateReader(
-                        network.newStateStoreClient(process, 1_000, 1_000), VALUE_BYTES, admitted -> false, () -> true)
+                        network.newStateStoreClient(process, 1_000, 1_000),
+                        process.unexpectedErrors(),
+                        VALUE_BYTES,
+                        admitted -> false,
+                        () -> true)
                 .read();
         time.runFor(30_000_000);
         assertThat(read).isCompletedWithValue(Optional.empty());
