--- a/src/main/java/io/sillreel/Controller.java
+++ b/src/main/java/io/sillreel/Controller.java
@@ -175,8 +175,9 @@
      */
     public void start(Runnable openPublicPort) {
         eventLoopLag.start();
-        election.start(activeTerm, openPublicPort);
+        // Before the election, since the protection decides when a term may begin.
         protection.start(store, election);
+        election.start(activeTerm, openPublicPort);
         machineTypes.start();
         tick();
     }
--- a/src/main/java/io/sillreel/http/UnexpectedErrors.java
+++ b/src/main/java/io/sillreel/http/UnexpectedErrors.java
@@ -26,6 +26,8 @@
     /** Guarded by this. */
     private long count;
     /** Guarded by this. */
+    private Throwable latest;
+    /** Guarded by this. */
     private long lastStackTraceMicros;
 
     /** @param nowMicros monotonic time in microseconds */
@@ -39,6 +41,11 @@
         return count;
     }
 
+    /** The latest error, or null if there was none. */
+    public synchronized Throwable latest() {
+        return latest;
+    }
+
     /**
      * Logs and counts an error.
      *
@@ -46,7 +53,7 @@
      */
     public void report(String work, Throwable error) {
         Throwable cause = error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
-        if (recordAndCheckStackTraceDue()) {
+        if (recordAndCheckStackTraceDue(cause)) {
             truncateStackTrace(cause);
             LOG.error("unexpected error in {}", work, cause);
         } else {
@@ -58,7 +65,8 @@
         }
     }
 
-    private synchronized boolean recordAndCheckStackTraceDue() {
+    private synchronized boolean recordAndCheckStackTraceDue(Throwable error) {
+        latest = error;
         count++;
         long now = nowMicros.getAsLong();
         boolean isDue = now - lastStackTraceMicros >= STACK_TRACE_INTERVAL_MICROS;
--- a/src/test/java/io/sillreel/statestore/StateStoreReadTest.java
+++ b/src/test/java/io/sillreel/statestore/StateStoreReadTest.java
@@ -54,6 +54,7 @@
     /** Guards failovers: after an exception in the consumer the scan never completed and blocked the new leader. */
     @Test
     void endsScanWhenConsumerThrows() {
+        time.tolerateUnexpectedErrors();
         CompletableFuture<ScanResult> scan = store.scan("k/", page -> {
             throw new IllegalArgumentException("malformed entry");
         });
