A plan that the scan has read is not taken for a new job when the watch reports it

What callers saw: jobs that were called done were called queued or running some 13 s after a change of leader, and were run a second time.

Cause: the watch of plans begins at the revision of the first page of the scan, so plans that are stored while later pages are read are found by both. LeaderJobs.addAdmittedJob ignored such a plan only while its job was active. When the first answer of the watch was lost, the plans came 12.5 s late; short jobs had ended by then and were added again as new ones.

Change: at the beginning of a term LeaderJobs records the restored jobs whose plans are newer than the first page, which are exactly those that the watch reports once more, and ignores each of these reports.

--- a/src/main/java/io/sillreel/leadership/LeaderJobs.java
+++ b/src/main/java/io/sillreel/leadership/LeaderJobs.java
@@ -17,7 +17,9 @@
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.WriteQueue;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +42,9 @@
     private final DependencyGraph dependencies = new DependencyGraph(this);
     private final DependencyLookup dependencyLookup;
     private final PriorityInheritance inheritance;
+    /** Jobs that were restored, and whose plans the watch reports once more. */
+    private final Set<String> plansReportedAgain = new HashSet<>();
+
     private JobIdSet cancelledUids = new JobIdSet();
     private boolean closed;
 
@@ -68,6 +73,7 @@
         cancelledUids = state.cancelled();
         state.recentlyDone().forEach(plan -> capacity.recordArrival(plan.spec(), plan.admittedWallMicros()));
         enqueueWrites(state.obsoleteChunkRemovals());
+        recordPlansReportedAgain(state);
         List<ActiveJob> unfinished = new ArrayList<>();
         for (StoredJob stored : state.unfinished()) {
             String work = "the restoration of job " + stored.plan().spec().uid();
@@ -77,6 +83,18 @@
         unfinished.forEach(inheritance::propagateUrgency);
     }
 
+    /**
+     * The watch of plans begins at the revision of the first page that was read. Plans of later pages may be newer, and
+     * are then found by both. By the time the watch reports them, their jobs may have ended.
+     */
+    private void recordPlansReportedAgain(StoredState state) {
+        for (StoredJob stored : state.unfinished()) {
+            if (stored.planRevision() > state.plansRevision()) {
+                plansReportedAgain.add(stored.plan().spec().uid());
+            }
+        }
+    }
+
     void close() {
         closed = true;
         dependencyLookup.close();
@@ -116,6 +134,9 @@
 
     /** Adds a job that was admitted during the term, once the overflow values of its plan have been read. */
     void addAdmittedJob(PlanRecord plan, long revision) {
+        if (plansReportedAgain.remove(plan.spec().uid())) {
+            return;
+        }
         String work = "the plan of job " + plan.spec().uid();
         eventLoop.unexpectedErrors().whenDone(PlanOverflow.load(plan, store), work, completePlan -> {
             if (closed) {
--- a/src/test/java/io/sillreel/load/StoredJobs.java
+++ b/src/test/java/io/sillreel/load/StoredJobs.java
@@ -18,7 +18,7 @@
 import java.util.List;
 
 /** Stores jobs of earlier terms: finished jobs, and jobs that depend on a job that never starts. */
-final class StoredJobs {
+public final class StoredJobs {
     private static final long ADMITTED_WALL_MICROS = 1_700_000_000_000_000L;
     /** Higher than the numbers of the jobs that are submitted during the measurement. */
     private static final int FIRST_UID = 500_000;
@@ -28,11 +28,12 @@
     private final SimStateService stateService;
     private int nextNumber = FIRST_UID;
 
-    StoredJobs(SimStateService stateService) {
+    public StoredJobs(SimStateService stateService) {
         this.stateService = stateService;
     }
 
-    void addDone(int count) {
+    /** Stores that many finished jobs. */
+    public void addDone(int count) {
         for (int each = 0; each < count; each++) {
             String uid = uid(nextNumber++);
             store(
