A write that finds another revision looks at the value before it replaces it

What callers saw: the stored completion of a job was replaced by "queued", whatever had led the leader to write, so every controller gave an answer older than one that had been given.

Cause: after a conflict, or a transaction without an answer, the write queue read the key and handed only its revision to the write, which took it over. The next transaction then replaced a value that nobody had looked at.

Change: PendingWrite.onConflict gets the stored entry and decides. A run record that is done is adopted: the job ends in this term too, its tasks are stopped, nothing is written. A record with more completed tasks than this term knows ends the term, so that the next one reads it. All other writes say in their comments why any value may be replaced.

--- a/src/main/java/io/sillreel/cluster/ScaleOutRequest.java
+++ b/src/main/java/io/sillreel/cluster/ScaleOutRequest.java
@@ -1,11 +1,14 @@
 package io.sillreel.cluster;
 
+import io.sillreel.statestore.ConflictResolution;
 import io.sillreel.statestore.KeyChange;
 import io.sillreel.statestore.PendingWrite;
+import io.sillreel.statestore.StoredEntry;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -235,8 +238,10 @@
         action.run();
     }
 
+    /** Accepts any stored value: only the term that named the request, or inherited it, ever writes its key. */
     @Override
-    public void onConflict(long newRevision) {
-        revision = newRevision;
+    public ConflictResolution onConflict(Optional<StoredEntry> stored) {
+        revision = stored.map(StoredEntry::revision).orElse(0L);
+        return ConflictResolution.RETRY;
     }
 }
--- a/src/main/java/io/sillreel/leadership/LeaderJobs.java
+++ b/src/main/java/io/sillreel/leadership/LeaderJobs.java
@@ -215,6 +215,14 @@
         }
     }
 
+    @Override
+    public void completionFound(ActiveJob job) {
+        LOG.warn("job {} is stored as done, but was not done in this term", job.uid());
+        synchronized (cluster) {
+            job.markAllTasksDone();
+        }
+    }
+
     @Override
     public void cancellationFound(ActiveJob job) {
         synchronized (cluster) {
--- a/src/main/java/io/sillreel/leadership/LeaderTerm.java
+++ b/src/main/java/io/sillreel/leadership/LeaderTerm.java
@@ -116,7 +116,7 @@
                 LeaderElection.LEADER_KEY,
                 grant.leaderRevision(),
                 settings.state().maxTransactionChanges(),
-                () -> election.resign("the leader key was overwritten"));
+                election::resign);
     }
 
     private LeaderJobs newJobs() {
--- a/src/main/java/io/sillreel/pipeline/ActiveJob.java
+++ b/src/main/java/io/sillreel/pipeline/ActiveJob.java
@@ -23,6 +23,9 @@
         /** Called when the record can't be stored because the job is cancelled. */
         void cancellationFound(ActiveJob job);
 
+        /** Called when the stored record marks the job as done, although it is not done in this term. */
+        void completionFound(ActiveJob job);
+
         /** Queues writes, which include the job's own record if it has to be written again. */
         void enqueueWrites(List<? extends PendingWrite> writes);
     }
@@ -202,6 +205,13 @@
         return true;
     }
 
+    /** Marks all tasks as done, as the stored record does. */
+    public void markAllTasksDone() {
+        for (int task = 0; task < spec.tasks(); task++) {
+            markTaskDone(task);
+        }
+    }
+
     /** Adds an allocation of the task; normally a task has only one. */
     public void allocate(int task) {
         occupancy.allocate(task);
--- a/src/main/java/io/sillreel/pipeline/RunRecordWrite.java
+++ b/src/main/java/io/sillreel/pipeline/RunRecordWrite.java
@@ -1,7 +1,10 @@
 package io.sillreel.pipeline;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.sillreel.statestore.ConflictResolution;
 import io.sillreel.statestore.KeyChange;
 import io.sillreel.statestore.PendingWrite;
+import io.sillreel.statestore.StoredEntry;
 import io.sillreel.statestore.WriteUrgency;
 import java.util.List;
 import java.util.Optional;
@@ -115,9 +118,31 @@
         }
     }
 
+    /**
+     * Never replaces a stored record that is ahead of this term's state: one that marks the job as done is adopted, and
+     * one with more completed tasks than are known here ends the term, so that the next one reads it.
+     */
     @Override
-    public void onConflict(long newRevision) {
-        revision = newRevision;
+    public ConflictResolution onConflict(Optional<StoredEntry> stored) {
+        revision = stored.map(StoredEntry::revision).orElse(0L);
+        if (stored.isEmpty()) {
+            return ConflictResolution.RETRY;
+        }
+        JsonNode record = stored.get().value();
+        if (RunRecordCodec.isDone(record)) {
+            adoptCompletion();
+            return ConflictResolution.DISCARD;
+        }
+        return RunRecordCodec.decode(record).doneTasks() > completionBitmap.count()
+                ? ConflictResolution.ABANDON_TERM
+                : ConflictResolution.RETRY;
+    }
+
+    private void adoptCompletion() {
+        listener.completionFound(job);
+        isCompletionSent = true;
+        completionBitmap.beginRecordWrite();
+        onStored(revision);
     }
 
     @Override
--- a/src/main/java/io/sillreel/statestore/AbstractPendingWrite.java
+++ b/src/main/java/io/sillreel/statestore/AbstractPendingWrite.java
@@ -1,5 +1,7 @@
 package io.sillreel.statestore;
 
+import java.util.Optional;
+
 /** Base class of pending writes that tracks the revision of the key. Used on the event loop only. */
 public abstract class AbstractPendingWrite implements PendingWrite {
     private final String key;
@@ -26,8 +28,10 @@
         revision = newRevision;
     }
 
+    /** Accepts any stored value: the keys of these writes never hold anything that has to be preserved. */
     @Override
-    public final void onConflict(long newRevision) {
-        revision = newRevision;
+    public final ConflictResolution onConflict(Optional<StoredEntry> stored) {
+        revision = stored.map(StoredEntry::revision).orElse(0L);
+        return ConflictResolution.RETRY;
     }
 }
--- a/src/main/java/io/sillreel/statestore/PendingWrite.java
+++ b/src/main/java/io/sillreel/statestore/PendingWrite.java
@@ -42,8 +42,13 @@
     /** Called when the last returned change is stored; the key now has the given revision. */
     void onStored(long revision);
 
-    /** Called when the key has a revision other than the expected one; the write is retried with that revision. */
-    void onConflict(long revision);
+    /**
+     * Called when the key may have a revision other than the expected one. The implementation has to look at the value:
+     * a retry with its revision replaces it, whoever has written it.
+     *
+     * @param stored what the key holds now, empty if it does not exist
+     */
+    ConflictResolution onConflict(Optional<StoredEntry> stored);
 
     /**
      * Called when the state service rejects the write for its size even in a transaction of its own. The write is not
--- a/src/main/java/io/sillreel/statestore/WriteQueue.java
+++ b/src/main/java/io/sillreel/statestore/WriteQueue.java
@@ -37,7 +37,7 @@
     private final String leaderKey;
     private final long leaderRevision;
     private final int maxChangesPerTransaction;
-    private final Runnable onLeadershipLost;
+    private final Consumer<String> abandonTerm;
     private final WriteBacklog backlog = new WriteBacklog();
     private boolean writeInProgress;
     private long writeStartedAtMicros;
@@ -45,7 +45,8 @@
 
     /**
      * @param leaderRevision the revision of the leader key when this controller became the leader
-     * @param onLeadershipLost called when a write fails because the leader key has changed; no further write is sent
+     * @param abandonTerm called with the reason when a write shows that the leader key has changed, or that stored
+     *     state is newer than that of this term; has to close the queue
      */
     public WriteQueue(
             StateStore store,
@@ -53,13 +54,13 @@
             String leaderKey,
             long leaderRevision,
             int maxChangesPerTransaction,
-            Runnable onLeadershipLost) {
+            Consumer<String> abandonTerm) {
         this.store = store;
         this.eventLoop = eventLoop;
         this.leaderKey = leaderKey;
         this.leaderRevision = leaderRevision;
         this.maxChangesPerTransaction = maxChangesPerTransaction;
-        this.onLeadershipLost = onLeadershipLost;
+        this.abandonTerm = abandonTerm;
     }
 
     /** Queues the write unless a write of the same key is already pending. */
@@ -215,7 +216,7 @@
 
     private void handleConflict(List<PendingWrite> writes, List<String> failedKeys) {
         if (failedKeys.contains(leaderKey)) {
-            onLeadershipLost.run();
+            abandonTerm.accept("the leader key was overwritten");
             return;
         }
         List<PendingWrite> conflicting = new ArrayList<>();
@@ -288,10 +289,20 @@
                         retryAll);
     }
 
+    /** Queues a write again whose key has been read, unless the stored value makes that needless or wrong. */
     private void requeue(PendingWrite write, ReadResult read) {
-        if (read.isConclusive()) {
-            notifyResult(write, conflicting -> conflicting.onConflict(read.revision()));
+        ConflictResolution resolution = read.isConclusive()
+                ? eventLoop
+                        .unexpectedErrors()
+                        .callConfined(
+                                "the stored value of " + write.key(),
+                                () -> write.onConflict(read.entry()),
+                                ConflictResolution.DISCARD)
+                : ConflictResolution.RETRY;
+        switch (resolution) {
+            case RETRY -> add(write);
+            case ABANDON_TERM -> abandonTerm.accept("the stored value of " + write.key() + " is newer than this term");
+            default -> LOG.info("write of {} is not needed any more", write.key());
         }
-        add(write);
     }
 }
--- a/src/test/java/io/sillreel/CompletionBitmapVersionsTest.java
+++ b/src/test/java/io/sillreel/CompletionBitmapVersionsTest.java
@@ -89,7 +89,7 @@
             store.commit(transaction);
             time.runFor(100_000);
             stateService.setLimits(2, 160, 1_000);
-            writeQueue = new WriteQueue(store, process, "leader", 101, 2, () -> {});
+            writeQueue = new WriteQueue(store, process, "leader", 101, 2, reason -> {});
             listener = new NoOpJobListener() {
                 @Override
                 public void enqueueWrites(List<? extends PendingWrite> items) {
--- a/src/test/java/io/sillreel/LateAnswersTest.java
+++ b/src/test/java/io/sillreel/LateAnswersTest.java
@@ -15,6 +15,7 @@
 class LateAnswersTest {
     private static final int EARLIER_JOBS = 3_000;
     private static final int JOBS = 60;
+    private static final int DONE_ELSEWHERE = 30;
     /** Enough for machines to be up when the leader ends. */
     private static final int WARM_UP_TASKS = 24;
 
@@ -69,4 +70,23 @@
             uids.forEach(each -> cluster.pollAsync(node, each));
         }
     }
+
+    /**
+     * Guards against replacing a stored completion: a write that found another revision than expected took it over
+     * without looking at the value.
+     */
+    @Test
+    void aLeaderThatDoesNotKnowOfACompletionAdoptsIt() {
+        cluster.runSeconds(5);
+        cluster.store().setLimits(20, 8 * 1024, Double.MAX_VALUE);
+        new StoredJobs(cluster.store()).addDone(DONE_ELSEWHERE);
+        cluster.runSeconds(60);
+        for (String key : cluster.store().keysWithPrefix("run/")) {
+            assertThat(cluster.store().value(key).path("stage").asText())
+                    .as(key)
+                    .isEqualTo("done");
+        }
+        assertThat(cluster.store().keysWithPrefix("run/")).hasSize(DONE_ELSEWHERE);
+        assertThat(cluster.startCount()).isZero();
+    }
 }
--- a/src/test/java/io/sillreel/fleet/FleetRegistryTest.java
+++ b/src/test/java/io/sillreel/fleet/FleetRegistryTest.java
@@ -28,7 +28,7 @@
             process,
             1,
             cluster,
-            new WriteQueue(store, process, "leader", 1, 4, () -> {}),
+            new WriteQueue(store, process, "leader", 1, 4, reason -> {}),
             ValueLimits.fixed(2_048),
             () -> Map.of(
                     "c4",
--- a/src/test/java/io/sillreel/pipeline/NoOpJobListener.java
+++ b/src/test/java/io/sillreel/pipeline/NoOpJobListener.java
@@ -8,6 +8,9 @@
     @Override
     public void recordStored(ActiveJob job) {}
 
+    @Override
+    public void completionFound(ActiveJob job) {}
+
     @Override
     public void cancellationFound(ActiveJob job) {}
 
--- a/src/test/java/io/sillreel/statestore/WriteQueueTest.java
+++ b/src/test/java/io/sillreel/statestore/WriteQueueTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sillreel.http.HttpRequest;
 import io.sillreel.http.Json;
 import io.sillreel.overload.RateLimiter;
 import io.sillreel.sim.SimNetwork;
@@ -11,6 +13,7 @@
 import io.sillreel.sim.SimTime;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class WriteQueueTest {
@@ -27,7 +30,7 @@
         store = network.newStateStoreClient(process, 1_000, 1_000);
         store.commit(new Transaction().set("leader", Json.object()));
         time.runFor(100_000);
-        writeQueue = new WriteQueue(store, process, "leader", 101, 4, () -> leadershipLost = true);
+        writeQueue = new WriteQueue(store, process, "leader", 101, 4, reason -> leadershipLost = true);
     }
 
     /**
@@ -64,7 +67,7 @@
         // A quarter of the write rate configured for this controller.
         StateStore rateLimitedStore = network.newStateStoreClient(process, 1_000, 40);
         WriteQueue writeQueue =
-                new WriteQueue(rateLimitedStore, process, "leader", 101, 4, () -> leadershipLost = true);
+                new WriteQueue(rateLimitedStore, process, "leader", 101, 4, reason -> leadershipLost = true);
         stateService.setLimits(4, 8192, 10);
         List<CounterWrite> writes = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
@@ -88,6 +91,7 @@
         private int stored;
         private long revision;
         private WriteUrgency urgency = WriteUrgency.JOB_START;
+        private ConflictResolution resolution = ConflictResolution.RETRY;
 
         CounterWrite(String key) {
             this.key = key;
@@ -121,8 +125,9 @@
         }
 
         @Override
-        public void onConflict(long newRevision) {
-            revision = newRevision;
+        public ConflictResolution onConflict(Optional<StoredEntry> found) {
+            revision = found.map(StoredEntry::revision).orElse(0L);
+            return resolution;
         }
     }
 
@@ -166,7 +171,7 @@
                 "state:1",
                 new RateLimiter(process, 1_000, 1_000),
                 new RateLimiter(process, 2, 6));
-        WriteQueue slowQueue = new WriteQueue(slowStore, process, "leader", 101, 4, () -> leadershipLost = true);
+        WriteQueue slowQueue = new WriteQueue(slowStore, process, "leader", 101, 4, reason -> leadershipLost = true);
         CounterWrite[] progress = new CounterWrite[8];
         for (int i = 0; i < progress.length; i++) {
             progress[i] = new CounterWrite("p" + i);
@@ -276,4 +281,18 @@
         assertThat(writeQueue.pendingCount()).isEqualTo(30);
         assertThat(writeQueue.urgentCount()).isZero();
     }
+
+    /** Guards stored state that is newer than this term's: a write that finds it must not replace it. */
+    @Test
+    void abandonsTheTermIfAStoredValueIsNewer() {
+        ObjectNode transaction = Json.object();
+        transaction.putArray("then").addObject().put("set", "k").putObject("v").put("n", 7);
+        stateService.handle(HttpRequest.post("/txn", transaction)).join();
+        CounterWrite write = new CounterWrite("k");
+        write.resolution = ConflictResolution.ABANDON_TERM;
+        writeQueue.enqueue(write);
+        time.runFor(5_000_000);
+        assertThat(leadershipLost).isTrue();
+        assertThat(stateService.value("k").path("n").asInt()).isEqualTo(7);
+    }
 }
