Lost-write protection goes on after an error in one of its callbacks

The same cause as in the leader's loops: the watch of all changes, the start of the change log, the writer of the recovery record and the check before a term were continued in callbacks whose errors were lost. They now retry; a term whose check fails is given up.

--- a/src/main/java/io/sillreel/recovery/ChangeLogWatcher.java
+++ b/src/main/java/io/sillreel/recovery/ChangeLogWatcher.java
@@ -13,6 +13,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -95,19 +96,24 @@
      *     still stored after a loss, the change log covers everything that was lost
      */
     private void startSession(long session, boolean fromPermanentKey) {
-        store.list(RecoveryRecord.KEY).thenAcceptBoth(store.get(LeaderElection.TERM_KEY), (listing, term) -> {
-            if (session != currentSession) {
-                return;
-            }
-            if (listing.outcome() == StoreOutcome.OK && term.isConclusive()) {
-                startSession(session, fromPermanentKey, listing, term);
-            } else {
+        Runnable retry = () -> {
+            if (session == currentSession) {
                 eventLoop.schedule(RETRY_MICROS, () -> startSession(session, fromPermanentKey));
             }
-        });
+        };
+        CompletableFuture<Runnable> start = store.list(RecoveryRecord.KEY)
+                .thenCombine(
+                        store.get(LeaderElection.TERM_KEY),
+                        (listing, term) -> listing.outcome() == StoreOutcome.OK && term.isConclusive()
+                                ? () -> startSession(session, fromPermanentKey, listing, term)
+                                : retry);
+        eventLoop.unexpectedErrors().whenDone(start, "the start of the change log", Runnable::run, retry);
     }
 
     private void startSession(long session, boolean fromPermanentKey, ListResult listing, ReadResult term) {
+        if (session != currentSession) {
+            return;
+        }
         Optional<StoredEntry> stored = listing.entries().stream()
                 .filter(entry -> entry.key().equals(RecoveryRecord.KEY))
                 .findFirst();
@@ -130,21 +136,30 @@
         if (session != currentSession || suspended.getAsBoolean()) {
             return;
         }
-        store.watch(ALL_KEYS, since, WATCH_MICROS).thenAccept(result -> {
-            if (session != currentSession || suspended.getAsBoolean()) {
-                return;
-            }
-            if (result.outcome() == StoreOutcome.OK) {
-                lastWatchMicros = eventLoop.nowMicros();
-                long watchedRevision = Math.max(since, result.storeRevision());
-                recordEvents(result, watchedRevision);
-                eventLoop.schedule(watchDelayMicros, () -> watch(session, watchedRevision));
-            } else if (result.outcome() == StoreOutcome.COMPACTED) {
-                startSession(session, false);
-            } else {
-                eventLoop.schedule(RETRY_MICROS, () -> watch(session, since));
-            }
-        });
+        Runnable retry = () -> eventLoop.schedule(RETRY_MICROS, () -> watch(session, since));
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        store.watch(ALL_KEYS, since, WATCH_MICROS),
+                        "the watch of all changes",
+                        result -> handleWatch(session, since, result, retry),
+                        retry);
+    }
+
+    private void handleWatch(long session, long since, WatchResult result, Runnable retry) {
+        if (session != currentSession || suspended.getAsBoolean()) {
+            return;
+        }
+        if (result.outcome() == StoreOutcome.OK) {
+            lastWatchMicros = eventLoop.nowMicros();
+            long watchedRevision = Math.max(since, result.storeRevision());
+            recordEvents(result, watchedRevision);
+            eventLoop.schedule(watchDelayMicros, () -> watch(session, watchedRevision));
+        } else if (result.outcome() == StoreOutcome.COMPACTED) {
+            startSession(session, false);
+        } else {
+            retry.run();
+        }
     }
 
     private void recordEvents(WatchResult result, long watchedRevision) {
--- a/src/main/java/io/sillreel/recovery/RebuildCoordinator.java
+++ b/src/main/java/io/sillreel/recovery/RebuildCoordinator.java
@@ -61,28 +61,36 @@
 
     /** Reads the recovery record, repairs the loss if one is open, and then begins the term. */
     void beforeTerm(long term, long leaderRevision, Runnable beginTerm) {
-        store.get(RecoveryRecord.KEY).thenAccept(read -> {
-            if (leadership.heldTerm() != term) {
-                return;
-            }
-            if (!read.isConclusive()) {
-                eventLoop.schedule(RETRY_MICROS, () -> beforeTerm(term, leaderRevision, beginTerm));
-                return;
-            }
-            boolean suspendedBefore = loss.isSuspended();
-            RecoveryRecord stored = RecoveryRecord.of(read);
-            recovery.onRecordRead(stored);
-            if (loss.isSuspended() && suspendedBefore) {
-                if (!stored.open()) {
-                    loss.raiseGenerationAbove(stored.generation());
-                }
-                startRebuild(term, leaderRevision, beginTerm);
-            } else if (!loss.isSuspended()) {
-                beginTerm.run();
-            }
-            // Otherwise the record has just revealed a loss, and this controller has resigned because its term was
-            // chosen without regard to terms that may have been lost.
-        });
+        Runnable onError = () -> leadership.resign("the recovery record can't be read");
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(
+                        store.get(RecoveryRecord.KEY),
+                        "the beginning of a term",
+                        read -> {
+                            if (leadership.heldTerm() != term) {
+                                return;
+                            }
+                            if (!read.isConclusive()) {
+                                eventLoop.schedule(RETRY_MICROS, () -> beforeTerm(term, leaderRevision, beginTerm));
+                                return;
+                            }
+                            boolean suspendedBefore = loss.isSuspended();
+                            RecoveryRecord stored = RecoveryRecord.of(read);
+                            recovery.onRecordRead(stored);
+                            if (loss.isSuspended() && suspendedBefore) {
+                                if (!stored.open()) {
+                                    loss.raiseGenerationAbove(stored.generation());
+                                }
+                                startRebuild(term, leaderRevision, beginTerm);
+                            } else if (!loss.isSuspended()) {
+                                beginTerm.run();
+                            }
+                            // Otherwise the record has just revealed a loss, and this controller has resigned because
+                            // its term was
+                            // chosen without regard to terms that may have been lost.
+                        },
+                        onError);
     }
 
     private void startRebuild(long term, long leaderRevision, Runnable beginTerm) {
--- a/src/main/java/io/sillreel/recovery/RecoveryRecordWriter.java
+++ b/src/main/java/io/sillreel/recovery/RecoveryRecordWriter.java
@@ -4,6 +4,7 @@
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.StoreOutcome;
 import io.sillreel.statestore.Transaction;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -46,7 +47,7 @@
     }
 
     private void read() {
-        store.get(RecoveryRecord.KEY).thenAccept(read -> {
+        whenDone(store.get(RecoveryRecord.KEY), read -> {
             RecoveryRecord record = openRecord.get();
             if (record == null) {
                 storing = false;
@@ -68,7 +69,7 @@
         Transaction transaction = new Transaction()
                 .requireRevision(RecoveryRecord.KEY, revision)
                 .set(RecoveryRecord.KEY, record.toJson());
-        store.commit(transaction).thenAccept(commit -> {
+        whenDone(store.commit(transaction), commit -> {
             if (commit.outcome() == StoreOutcome.OK) {
                 storing = false;
                 onStored.accept(record);
@@ -78,4 +79,10 @@
             }
         });
     }
+
+    private <T> void whenDone(CompletableFuture<T> future, Consumer<T> callback) {
+        eventLoop
+                .unexpectedErrors()
+                .whenDone(future, "the recovery record", callback, () -> eventLoop.schedule(RETRY_MICROS, this::read));
+    }
 }
