A cancellation that can't be applied does not count as known to the leader

A leader may launch only while it knows all cancellations up to some seconds ago. After an error with one, the watch no longer counts as caught up, so that the leader stops launching and the next term reads the cancellation again. A key that names no job is logged and passed over; JobIdSet.isJobId is the one definition of a job id, which SubmissionDecoder uses too.

--- a/src/main/java/io/sillreel/admission/SubmissionDecoder.java
+++ b/src/main/java/io/sillreel/admission/SubmissionDecoder.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.sillreel.http.Json;
 import io.sillreel.pipeline.Checkpointing;
+import io.sillreel.pipeline.JobIdSet;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.PlacementRequirements;
 import io.sillreel.pipeline.PriorityClass;
@@ -10,11 +11,9 @@
 import io.sillreel.pipeline.Urgency;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.regex.Pattern;
 
 /** Decodes the JSON body of a submission into a {@link JobSpec}. */
 final class SubmissionDecoder {
-    private static final Pattern UID = Pattern.compile("job-[0-9]{1,18}");
     private static final int MAX_TASKS = 100_000;
     private static final long NO_DEADLINE = -1;
 
@@ -22,7 +21,7 @@
 
     /** True if the text has the form of a job id. */
     static boolean isUid(String text) {
-        return UID.matcher(text).matches();
+        return JobIdSet.isJobId(text);
     }
 
     /**
--- a/src/main/java/io/sillreel/leadership/StoredChangeWatcher.java
+++ b/src/main/java/io/sillreel/leadership/StoredChangeWatcher.java
@@ -3,17 +3,21 @@
 import io.sillreel.cluster.Cluster;
 import io.sillreel.http.EventLoop;
 import io.sillreel.pipeline.CancellationRecord;
+import io.sillreel.pipeline.JobIdSet;
 import io.sillreel.pipeline.PlanRecord;
 import io.sillreel.pipeline.PlanRecordCodec;
 import io.sillreel.statestore.StateStore;
 import io.sillreel.statestore.WatchEvent;
 import io.sillreel.statestore.WatchResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Watches the plans and cancellations that the controllers store, until the term ends. Runs on the event loop; changes
  * are applied under the cluster lock.
  */
 final class StoredChangeWatcher {
+    private static final Logger LOG = LoggerFactory.getLogger(StoredChangeWatcher.class);
     private static final long RETRY_MICROS = 300_000;
     private static final long PLAN_WATCH_MICROS = 10_000_000;
     /** Short, since each response confirms that all cancellations stored before its request are known. */
@@ -60,6 +64,7 @@
     private abstract class PrefixWatch {
         private final String prefix;
         private final long blockMicros;
+        private boolean hasFailedChange;
 
         /** @param blockMicros how long the state service may block a request while nothing changes */
         PrefixWatch(String prefix, long blockMicros) {
@@ -96,7 +101,9 @@
                     synchronized (cluster) {
                         result.events().forEach(this::applyConfined);
                     }
-                    caughtUp(sentMicros);
+                    if (!hasFailedChange) {
+                        caughtUp(sentMicros);
+                    }
                     run(result.storeRevision());
                 }
                 // The missed changes are no longer available; the next term reads the whole state again.
@@ -105,9 +112,13 @@
             }
         }
 
-        /** An error with one change must not hold up the others. The next term reads the change again. */
+        /**
+         * An error with one change must not hold up the others. The next term reads the change again; until then, this
+         * one does not count as caught up.
+         */
         private void applyConfined(WatchEvent change) {
-            eventLoop.unexpectedErrors().runConfined("the change of " + change.key(), () -> apply(change));
+            hasFailedChange |=
+                    !eventLoop.unexpectedErrors().runConfined("the change of " + change.key(), () -> apply(change));
         }
     }
 
@@ -131,7 +142,12 @@
 
         @Override
         void apply(WatchEvent change) {
-            jobs.jobCancelled(change.key().substring(CancellationRecord.PREFIX.length()));
+            String uid = change.key().substring(CancellationRecord.PREFIX.length());
+            if (JobIdSet.isJobId(uid)) {
+                jobs.jobCancelled(uid);
+            } else {
+                LOG.error("{} is the cancellation of no job", change.key());
+            }
         }
 
         @Override
--- a/src/main/java/io/sillreel/leadership/StoredStateReader.java
+++ b/src/main/java/io/sillreel/leadership/StoredStateReader.java
@@ -21,6 +21,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongPredicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the stored state for a new leader. All prefixes are scanned concurrently, which is consistent because only the
@@ -29,6 +31,8 @@
  * may hold many more of those jobs than fit into the memory of a controller. Runs on the event loop.
  */
 final class StoredStateReader {
+    private static final Logger LOG = LoggerFactory.getLogger(StoredStateReader.class);
+
     private final StateStore store;
     private final UnexpectedErrors errors;
     private final int firstVersionTasksPerChunk;
@@ -84,9 +88,13 @@
     }
 
     /** A key that names no job cancels none, and must not keep a leader from reading the others. */
-    private void addCancelled(JobIdSet cancelled, StoredEntry entry) {
-        errors.runConfined(
-                "the cancellation " + entry.key(), () -> cancelled.add(keySuffix(CancellationRecord.PREFIX, entry)));
+    private static void addCancelled(JobIdSet cancelled, StoredEntry entry) {
+        String uid = keySuffix(CancellationRecord.PREFIX, entry);
+        if (JobIdSet.isJobId(uid)) {
+            cancelled.add(uid);
+        } else {
+            LOG.error("{} is the cancellation of no job", entry.key());
+        }
     }
 
     private CompletableFuture<ScanResult> scan(String prefix, Consumer<List<StoredEntry>> pageConsumer) {
--- a/src/main/java/io/sillreel/pipeline/JobIdSet.java
+++ b/src/main/java/io/sillreel/pipeline/JobIdSet.java
@@ -1,5 +1,6 @@
 package io.sillreel.pipeline;
 
+import java.util.regex.Pattern;
 import org.agrona.collections.LongHashSet;
 
 /**
@@ -8,11 +9,17 @@
  */
 public final class JobIdSet {
     private static final String PREFIX = "job-";
+    private static final Pattern JOB_ID = Pattern.compile(PREFIX + "[0-9]{1,18}");
     private static final int DECIMAL = 10;
 
     /** Encoded ids; no id is encoded as the value with which the hash set marks a free slot. */
     private final LongHashSet encodedIds = new LongHashSet();
 
+    /** True if the text has the form of a job id. */
+    public static boolean isJobId(String text) {
+        return JOB_ID.matcher(text).matches();
+    }
+
     /** Adds the id; returns true if the set did not contain it. */
     public boolean add(String uid) {
         return encodedIds.add(encode(uid));
