An unchanged run record never ends the term, whatever it counts

Found by reading the fix before it was measured: a record counts completed tasks whose chunks may not be stored yet. After a change of leader the count is then above what the term has restored, and a transaction without an answer would have ended the term, although the key had not changed.

Change: only a revision other than the expected one is looked at.

RunRecordWriteTest.retriesIfTheStoredRecordIsTheOneThatTheTermInherited got ABANDON_TERM before, RETRY now; the other three tests hold the rule itself.

--- a/src/main/java/io/sillreel/pipeline/RunRecordWrite.java
+++ b/src/main/java/io/sillreel/pipeline/RunRecordWrite.java
@@ -124,8 +124,9 @@
      */
     @Override
     public ConflictResolution onConflict(Optional<StoredEntry> stored) {
+        long expectedRevision = revision;
         revision = stored.map(StoredEntry::revision).orElse(0L);
-        if (stored.isEmpty()) {
+        if (stored.isEmpty() || revision == expectedRevision) {
             return ConflictResolution.RETRY;
         }
         JsonNode record = stored.get().value();
