--- a/src/main/java/io/sillreel/recovery/RebuildCoordinator.java
+++ b/src/main/java/io/sillreel/recovery/RebuildCoordinator.java
@@ -4,6 +4,7 @@
 import io.sillreel.http.HttpClient;
 import io.sillreel.leadership.LeaderElection;
 import io.sillreel.settings.Settings;
+import io.sillreel.statestore.ReadResult;
 import io.sillreel.statestore.StateStore;
 
 /**
@@ -61,36 +62,36 @@
 
     /** Reads the recovery record, repairs the loss if one is open, and then begins the term. */
     void beforeTerm(long term, long leaderRevision, Runnable beginTerm) {
-        Runnable onError = () -> leadership.resign("the recovery record can't be read");
         eventLoop
                 .unexpectedErrors()
                 .whenDone(
                         store.get(RecoveryRecord.KEY),
                         "the beginning of a term",
-                        read -> {
-                            if (leadership.heldTerm() != term) {
-                                return;
-                            }
-                            if (!read.isConclusive()) {
-                                eventLoop.schedule(RETRY_MICROS, () -> beforeTerm(term, leaderRevision, beginTerm));
-                                return;
-                            }
-                            boolean suspendedBefore = loss.isSuspended();
-                            RecoveryRecord stored = RecoveryRecord.of(read);
-                            recovery.onRecordRead(stored);
-                            if (loss.isSuspended() && suspendedBefore) {
-                                if (!stored.open()) {
-                                    loss.raiseGenerationAbove(stored.generation());
-                                }
-                                startRebuild(term, leaderRevision, beginTerm);
-                            } else if (!loss.isSuspended()) {
-                                beginTerm.run();
-                            }
-                            // Otherwise the record has just revealed a loss, and this controller has resigned because
-                            // its term was
-                            // chosen without regard to terms that may have been lost.
-                        },
-                        onError);
+                        read -> beginTerm(term, leaderRevision, beginTerm, read),
+                        () -> leadership.resign("the recovery record can't be read"));
+    }
+
+    private void beginTerm(long term, long leaderRevision, Runnable beginTerm, ReadResult read) {
+        if (leadership.heldTerm() != term) {
+            return;
+        }
+        if (!read.isConclusive()) {
+            eventLoop.schedule(RETRY_MICROS, () -> beforeTerm(term, leaderRevision, beginTerm));
+            return;
+        }
+        boolean suspendedBefore = loss.isSuspended();
+        RecoveryRecord stored = RecoveryRecord.of(read);
+        recovery.onRecordRead(stored);
+        if (loss.isSuspended() && suspendedBefore) {
+            if (!stored.open()) {
+                loss.raiseGenerationAbove(stored.generation());
+            }
+            startRebuild(term, leaderRevision, beginTerm);
+        } else if (!loss.isSuspended()) {
+            beginTerm.run();
+        }
+        // Otherwise the record has just revealed a loss, and this controller has resigned because its term was chosen
+        // without regard to terms that may have been lost.
     }
 
     private void startRebuild(long term, long leaderRevision, Runnable beginTerm) {
