--- a/review/Stage.java
+++ b/review/Stage.java
@@ -13,6 +13,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -36,6 +37,8 @@
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 10_000;
     private static final long MAX_RUN_MILLIS = 117_000;
 
     /** What differs from deployment to deployment. */
@@ -171,16 +174,22 @@
         throw new CannotRun("the deploy file has no run command");
     }
 
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    /** Free ports below those that the system gives to connections, which could take them before a controller does. */
+    private static List<Integer> freePorts(int count) {
         List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
+        Random random = new Random();
+        for (int attempt = 0; ports.size() < count && attempt < 1_000; attempt++) {
+            int port = FIRST_PORT + random.nextInt(PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (!ports.contains(socket.getLocalPort())) {
+                    ports.add(socket.getLocalPort());
+                }
+            } catch (IOException e) {
+                // Another process has it.
+            }
         }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+        if (ports.size() < count) {
+            throw new CannotRun("there are no free ports");
         }
         return ports;
     }
@@ -236,6 +245,11 @@
             for (int node = 0; node < site.nodes; node++) {
                 up &= isUp(node);
             }
+            for (int node = 0; node < site.nodes; node++) {
+                if (!isAlive(node)) {
+                    throw new CannotRun("hopper-" + node + " has ended: " + errors(node));
+                }
+            }
             if (up) {
                 judge.note("all controllers are up, hopper-" + leader() + " leads");
                 return;
