Quotas: an amount above zero counts as at least a thousandth of a CPU

Cause: the number of tasks that a team's quota allows was a division by the CPUs of a task in thousandths, which were 0 for amounts up to 1e-9; the guard before it looked at the amount that was not rounded. The ArithmeticException ended each placement plan.

Change: TeamQuota holds this arithmetic. What tasks use is rounded up to at least a thousandth, a quota is rounded down (a quota of 1.0009 CPUs was taken for 1.001 before), and one task that takes the whole quota still may run alone. Counts that exceed an int are capped: a quota of 3 million CPUs divided by a thousandth was a negative number. The number of tasks that fit into free resources is never negative, which overflowed the gain of a preemption.

--- a/src/main/java/io/sillreel/cluster/Cluster.java
+++ b/src/main/java/io/sillreel/cluster/Cluster.java
@@ -141,17 +141,7 @@
         if (team == null) {
             return 0;
         }
-        QuotaUsage.Amount used = usage.ofTeam(spec.team());
-        return Math.min(
-                remainingTasks(team.maxCpus(), used.cpus(), spec.cpus()),
-                remainingTasks(team.maxGpus(), used.gpus(), spec.gpus()));
-    }
-
-    private static int remainingTasks(double quota, long used, double perTask) {
-        if (quota <= 0 || perTask <= 0) {
-            return Integer.MAX_VALUE;
-        }
-        return (int) Math.max(0, (QuotaUsage.toMilli(quota) - used) / QuotaUsage.toMilli(perTask));
+        return TeamQuota.remainingTasks(team, usage.ofTeam(spec.team()), spec);
     }
 
     /**
--- a/src/main/java/io/sillreel/cluster/PlacementConstraints.java
+++ b/src/main/java/io/sillreel/cluster/PlacementConstraints.java
@@ -25,7 +25,7 @@
         return fittingTasks(spec, type.cpus(), type.ramGb(), type.gpus()) > 0;
     }
 
-    /** Returns how many tasks of the job fit into the free resources. */
+    /** Returns how many tasks of the job fit into the free resources; at least 0. */
     public static int fittingTasks(JobSpec spec, double cpus, double ramGb, double gpus) {
         return Math.min(
                 fittingTasks(cpus, spec.cpus()),
@@ -33,6 +33,6 @@
     }
 
     private static int fittingTasks(double free, double perTask) {
-        return perTask <= 0 ? Integer.MAX_VALUE : (int) Math.floor(free / perTask + EPSILON);
+        return perTask <= 0 ? Integer.MAX_VALUE : (int) Math.max(0, Math.floor(free / perTask + EPSILON));
     }
 }
--- a/src/main/java/io/sillreel/cluster/QuotaUsage.java
+++ b/src/main/java/io/sillreel/cluster/QuotaUsage.java
@@ -10,6 +10,10 @@
  */
 public final class QuotaUsage {
     private static final long MILLI = 1_000;
+    /** Tolerance for the rounding errors of decimal amounts. */
+    private static final double ROUNDING_TOLERANCE_MILLI = 1e-6;
+    /** Larger amounts count as this much, so that the sum over the tasks of many jobs does not overflow. */
+    private static final double MAX_MILLI = 1e12;
 
     /** An amount of CPUs and GPUs, in thousandths. */
     public static final class Amount {
@@ -70,8 +74,21 @@
                 amountByTeam.computeIfAbsent(team, name -> new Amount()).addUpTo(amount, maxCpus, maxGpus));
     }
 
-    /** Converts to thousandths, rounded up so that quotas are never exceeded. */
+    /**
+     * Converts to thousandths, rounded up so that quotas are never exceeded: an amount above zero is at least one
+     * thousandth.
+     */
     public static long toMilli(double amount) {
-        return (long) Math.ceil(amount * MILLI - 1e-6);
+        if (amount <= 0) {
+            return 0;
+        }
+        double rounded = Math.ceil(amount * MILLI - ROUNDING_TOLERANCE_MILLI);
+        return (long) Math.max(1, Math.min(MAX_MILLI, rounded));
+    }
+
+    /** Converts to thousandths, rounded down as a limit has to be. */
+    static long toMilliRoundedDown(double amount) {
+        double rounded = Math.floor(amount * MILLI + ROUNDING_TOLERANCE_MILLI);
+        return (long) Math.max(0, Math.min(MAX_MILLI, rounded));
     }
 }
