Plans count the tasks that a machine may still have, also for jobs without CPUs

What callers would see: a job whose tasks take no CPUs waits although machines have room.

Each plan gave such a job's tasks to the machine that had its image, the launch was then left out, and machines with free task slots were not tried. The same unlimited count, summed over more than 1,000 machines on which tasks are being stopped, overflowed an int (from reading, no test).

Change: the free capacity of a machine includes its free task slots; a full machine is not in the index of a plan.

Evidence: PlannerTest.placesTasksWithoutCpusOnMachineWithFreeTaskSlots failed with the former count on a scratch copy (the task went to the full machine), and passes now.

--- a/src/main/java/io/sillreel/cluster/Machine.java
+++ b/src/main/java/io/sillreel/cluster/Machine.java
@@ -308,21 +308,19 @@
         return allocations.clear();
     }
 
-    /** True if the image of the job is probably cached, so that a task starts without pulling it. */
-    public boolean hasImage(JobSpec spec) {
-        return hasImage(Image.of(spec));
-    }
-
-    /** True if the image is probably cached. */
+    /** True if the image is probably cached, so that a task starts without pulling it. */
     public boolean hasImage(Image image) {
         return images.contains(image);
     }
 
-    /** Returns the free CPUs; 0 on a machine that has the maximum number of tasks, see {@link #MAX_TASKS}. */
+    /** Returns how many more tasks the machine may have, regardless of its free resources. */
+    public int freeTaskSlots() {
+        return Math.max(0, MAX_TASKS - allocations.size());
+    }
+
+    /** Returns the free CPUs; 0 on a machine without free task slots. */
     public double freeCpus() {
-        return allocations.size() >= MAX_TASKS
-                ? 0
-                : type.cpus() - allocations.usage().cpus();
+        return freeTaskSlots() == 0 ? 0 : type.cpus() - allocations.usage().cpus();
     }
 
     public double freeRamGb() {
@@ -345,6 +343,7 @@
 
     /** Returns how many more tasks of the job fit into the free resources. */
     public int fittingTasks(JobSpec spec) {
-        return PlacementConstraints.fittingTasks(spec, freeCpus(), freeRamGb(), freeGpus());
+        int fitting = PlacementConstraints.fittingTasks(spec, freeCpus(), freeRamGb(), freeGpus());
+        return Math.min(fitting, freeTaskSlots());
     }
 }
--- a/src/main/java/io/sillreel/placement/FreeCapacity.java
+++ b/src/main/java/io/sillreel/placement/FreeCapacity.java
@@ -16,12 +16,14 @@
     private double cpus;
     private double ramGb;
     private double gpus;
+    private int taskSlots;
 
     FreeCapacity(Machine machine) {
         this.machine = machine;
         cpus = machine.freeCpus();
         ramGb = machine.freeRamGb();
         gpus = machine.freeGpus();
+        taskSlots = machine.freeTaskSlots();
     }
 
     Machine machine() {
@@ -41,8 +43,13 @@
         return gpus;
     }
 
+    /** Returns true if the machine has the maximum number of tasks, or will have it with those that were placed. */
+    boolean isTaskLimitReached() {
+        return taskSlots == 0;
+    }
+
     int fittingTasks(JobSpec spec) {
-        return PlacementConstraints.fittingTasks(spec, cpus, ramGb, gpus);
+        return Math.min(taskSlots, PlacementConstraints.fittingTasks(spec, cpus, ramGb, gpus));
     }
 
     /** Subtracts the resources of the given number of the job's tasks. */
@@ -50,6 +57,7 @@
         cpus -= tasks * spec.cpus();
         ramGb -= tasks * spec.ramGb();
         gpus -= tasks * spec.gpus();
+        taskSlots -= tasks;
         plannedImages.add(spec.image());
     }
 
--- a/src/main/java/io/sillreel/placement/PlacementIndex.java
+++ b/src/main/java/io/sillreel/placement/PlacementIndex.java
@@ -44,7 +44,7 @@
     }
 
     void add(FreeCapacity capacity) {
-        if (capacity.cpus() >= smallestTaskCpus - EPSILON_CPUS) {
+        if (!capacity.isTaskLimitReached() && capacity.cpus() >= smallestTaskCpus - EPSILON_CPUS) {
             CapacityProfile profile = CapacityProfile.of(capacity);
             groups.computeIfAbsent(
                             profile,
--- a/src/main/java/io/sillreel/placement/PreemptionCandidates.java
+++ b/src/main/java/io/sillreel/placement/PreemptionCandidates.java
@@ -20,12 +20,6 @@
  * jobs. Guarded by the cluster lock.
  */
 final class PreemptionCandidates {
-    /**
-     * Prevents an overflow of the sum over machines: without resource requirements, the number of fitting tasks is
-     * unlimited.
-     */
-    private static final int MAX_FITTING_TASKS = Integer.MAX_VALUE / 1_000;
-
     private final Cluster cluster;
     /** Schedulable machines ordered by name, with the priority classes of their stoppable tasks. */
     private final Map<Machine, Set<PriorityClass>> machines = new LinkedHashMap<>();
@@ -113,7 +107,7 @@
                     freedResources.addTask(allocation.job().spec());
                 }
             }
-            tasks += Math.min(freedResources.fittingTasks(spec), MAX_FITTING_TASKS);
+            tasks += Math.min(freedResources.fittingTasks(spec), Machine.MAX_TASKS);
         }
         return tasks;
     }
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -32,6 +32,10 @@
     private static final MachineType TYPE =
             new MachineType("c4", 4, 0, 16, new ImageStorage(50, 1), new Pricing(1, 0.5), 4 * SECOND, List.of("a"));
 
+    private static final PlacementRequirements ANYWHERE = new PlacementRequirements(null, null, false, false, true);
+    private static final TaskSpec TASK_WITHOUT_CPUS =
+            new TaskSpec(0, 0, 0.01, "img", 1, 20 * SECOND, new Checkpointing(0, 0));
+
     private final Cluster cluster = new Cluster(Map.of(
             "s", new Team("s", 8, 100, 0, 0), "t", new Team("t", 8, 100, 0, 0), "free", new Team("free", 0, 0, 0, 0)));
     private final Planner planner =
@@ -71,15 +75,26 @@
 
     private ActiveJob job(
             String team, PriorityClass priorityClass, int tasks, double cpus, long ageMicros, boolean hasCheckpoints) {
+        Checkpointing checkpointing = new Checkpointing(hasCheckpoints ? 5 * SECOND : 0, SECOND);
+        TaskSpec task = new TaskSpec(cpus, 0, 1, "img", 1, 20 * SECOND, checkpointing);
+        return job(team, priorityClass, tasks, ageMicros, task, ANYWHERE);
+    }
+
+    private ActiveJob job(
+            String team,
+            PriorityClass priorityClass,
+            int tasks,
+            long ageMicros,
+            TaskSpec task,
+            PlacementRequirements placement) {
         JobSpec spec = new JobSpec(
                 "job-%06d".formatted(++jobCount),
                 "l",
                 team,
                 new Urgency(priorityClass, -1),
                 tasks,
-                new TaskSpec(
-                        cpus, 0, 1, "img", 1, 20 * SECOND, new Checkpointing(hasCheckpoints ? 5 * SECOND : 0, SECOND)),
-                new PlacementRequirements(null, null, false, false, true),
+                task,
+                placement,
                 List.of());
         ActiveJob job =
                 new ActiveJob(spec, jobCount, nowMicros - ageMicros, ValueLimits.fixed(8_192), new NoOpJobListener());
@@ -188,6 +203,19 @@
         assertThat(plan().preemptions()).isEmpty();
     }
 
+    /** Guards jobs without CPUs: each plan put their tasks on a machine that could not have any more of them. */
+    @Test
+    void placesTasksWithoutCpusOnMachineWithFreeTaskSlots() {
+        ActiveJob running = job("free", PriorityClass.NORMAL, Machine.MAX_TASKS, 0, TASK_WITHOUT_CPUS, ANYWHERE);
+        Machine full = machine(1);
+        startTasks(running, full, Machine.MAX_TASKS);
+        Machine free = machine(2);
+        ActiveJob waiting = job("free", PriorityClass.NORMAL, Machine.MAX_TASKS + 20, 0, TASK_WITHOUT_CPUS, ANYWHERE);
+        Map<String, List<TaskAssignment>> launches = plan().launches();
+        assertThat(launches.get(free.name())).containsExactly(new TaskAssignment(waiting, Machine.MAX_TASKS));
+        assertThat(launches).doesNotContainKey(full.name());
+    }
+
     /** Guards against the starvation of a large task by small ones that take every CPU as it becomes free. */
     @Test
     void reservesMachineForAgedLargeTask() {
