An error in planning one job leaves out that job alone

Change: each step that concerns one job (its place in the queue, its guarantee, its placement, reservations and preemption, filling a machine, its share of the required capacity, its scale-out, its launches) is confined by PlanningErrors: the error is logged with the id of the job, and the job is left out of plans for ten seconds, so that an error that stays is not logged five times a second. The steps of a plan moved from Planner to PlanningCycle, the launches of a response to LaunchBatch.

Evidence: PlannerTest.errorInPlanningOneJobLeavesOutOnlyThatJob plays a job whose placement requirements are missing: the sound job beside it is placed in each plan, one error with the id is reported in ten seconds.

--- a/src/main/java/io/sillreel/cluster/Cluster.java
+++ b/src/main/java/io/sillreel/cluster/Cluster.java
@@ -153,6 +153,7 @@
                 && !job.isCancelled()
                 && !job.isComplete()
                 && wallMicros >= job.nextAttemptWallMicros()
+                && !job.isPlanningSuspended(wallMicros)
                 && (!job.isInherited() || !unreconciledMachines.mayHoldTasksOf(job.spec()));
     }
 
--- a/src/main/java/io/sillreel/heartbeat/CommandWriter.java
+++ b/src/main/java/io/sillreel/heartbeat/CommandWriter.java
@@ -11,6 +11,7 @@
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.placement.PlacementPlan;
 import io.sillreel.placement.Planner;
+import io.sillreel.placement.PlanningErrors;
 import io.sillreel.placement.TaskAssignment;
 import java.util.List;
 
@@ -23,14 +24,24 @@
     private final AttemptIds attemptIds;
     private final Cluster cluster;
     private final Planner planner;
+    private final PlanningErrors planningErrors;
     private PlacementPlan plan = PlacementPlan.EMPTY;
 
-    /** @param attemptIds generates the attempt ids of this term */
-    public CommandWriter(EventLoop eventLoop, AttemptIds attemptIds, Cluster cluster, Planner planner) {
+    /**
+     * @param attemptIds generates the attempt ids of this term
+     * @param planningErrors confines errors in launching to the job for which they occur
+     */
+    public CommandWriter(
+            EventLoop eventLoop,
+            AttemptIds attemptIds,
+            Cluster cluster,
+            Planner planner,
+            PlanningErrors planningErrors) {
         this.eventLoop = eventLoop;
         this.attemptIds = attemptIds;
         this.cluster = cluster;
         this.planner = planner;
+        this.planningErrors = planningErrors;
     }
 
     /** Sets the plan from which the next launches are taken. */
@@ -81,49 +92,74 @@
             return;
         }
         if (planned != null) {
-            addLaunches(machine, planned, heartbeat, commands, now);
+            addLaunches(machine, planned, heartbeat, commands);
         }
         if (machine.freeCpus() > 0) {
             List<TaskAssignment> additional = planner.backfillMachine(plan, machine, now, eventLoop.wallMicros());
             if (!additional.isEmpty()) {
-                addLaunches(machine, additional, heartbeat, commands, now);
+                addLaunches(machine, additional, heartbeat, commands);
             }
         }
     }
 
     private void addLaunches(
-            Machine machine, List<TaskAssignment> assignments, Heartbeat heartbeat, AgentCommands commands, long now) {
-        QuotaUsage usage = cluster.quotaUsage();
-        // A machine that ignored its last commands gets a single task, to probe whether it responds again.
-        int remainingLaunches = Math.min(
-                machine.responsiveness().ignoredCommandCount() > 0 ? 1 : Integer.MAX_VALUE,
-                Machine.MAX_TASKS - machine.allocations().size());
+            Machine machine, List<TaskAssignment> assignments, Heartbeat heartbeat, AgentCommands commands) {
+        long wallMicros = eventLoop.wallMicros();
+        LaunchBatch batch = new LaunchBatch(machine, heartbeat.sequence(), commands);
         for (TaskAssignment assignment : assignments) {
             ActiveJob job = assignment.job();
-            if (!cluster.isLaunchable(job, eventLoop.wallMicros())
-                    || !PlacementConstraints.isEligible(job.spec(), machine)) {
-                continue;
+            if (cluster.isLaunchable(job, wallMicros)) {
+                planningErrors.confine(job, wallMicros, () -> batch.add(assignment));
             }
-            int count = Math.min(
-                    assignment.count(),
-                    Math.min(
-                            machine.fittingTasks(job.spec()),
-                            Math.min(
-                                    cluster.quotaHeadroom(job.spec(), usage),
-                                    cluster.zoneHeadroom(job, machine.zone()))));
+        }
+    }
+
+    /** The launches in the response to one heartbeat. */
+    private final class LaunchBatch {
+        private final Machine machine;
+        private final long heartbeatSequence;
+        private final AgentCommands commands;
+        private final QuotaUsage usage = cluster.quotaUsage();
+        private int remainingLaunches;
+
+        LaunchBatch(Machine machine, long heartbeatSequence, AgentCommands commands) {
+            this.machine = machine;
+            this.heartbeatSequence = heartbeatSequence;
+            this.commands = commands;
+            // A machine that ignored its last commands gets a single task, to probe whether it responds again.
+            this.remainingLaunches = machine.responsiveness().ignoredCommandCount() > 0
+                    ? Math.min(1, machine.freeTaskSlots())
+                    : machine.freeTaskSlots();
+        }
+
+        void add(TaskAssignment assignment) {
+            ActiveJob job = assignment.job();
+            if (!PlacementConstraints.isEligible(job.spec(), machine)) {
+                return;
+            }
+            int count = Math.min(assignment.count(), startableTasks(job));
             for (int i = 0;
                     i < count && remainingLaunches > 0 && !commands.isFull() && !attemptIds.isExhausted();
                     i++) {
                 int task = job.nextWaitingTask();
                 if (task < 0) {
-                    break;
+                    return;
                 }
-                long attempt = attemptIds.next();
-                machine.add(Allocation.launched(job, task, attempt, heartbeat.sequence()));
-                usage.add(job.spec(), 1);
-                remainingLaunches--;
-                commands.launch(job.uid(), task, attempt);
+                launch(job, task);
             }
         }
+
+        private int startableTasks(ActiveJob job) {
+            int allowed = Math.min(cluster.quotaHeadroom(job.spec(), usage), cluster.zoneHeadroom(job, machine.zone()));
+            return Math.min(machine.fittingTasks(job.spec()), allowed);
+        }
+
+        private void launch(ActiveJob job, int task) {
+            long attempt = attemptIds.next();
+            machine.add(Allocation.launched(job, task, attempt, heartbeatSequence));
+            usage.add(job.spec(), 1);
+            remainingLaunches--;
+            commands.launch(job.uid(), task, attempt);
+        }
     }
 }
--- a/src/main/java/io/sillreel/leadership/LeaderTerm.java
+++ b/src/main/java/io/sillreel/leadership/LeaderTerm.java
@@ -28,6 +28,7 @@
 import io.sillreel.pipeline.RetrySchedule;
 import io.sillreel.placement.CapacityPlanner;
 import io.sillreel.placement.Planner;
+import io.sillreel.placement.PlanningErrors;
 import io.sillreel.placement.RuntimeEstimator;
 import io.sillreel.placement.ServiceLevelObjectives;
 import io.sillreel.settings.OperatorProperties;
@@ -93,8 +94,10 @@
         this.cluster = new Cluster(settings.teams());
         this.writeQueue = newWriteQueue(grant);
         ServiceLevelObjectives objectives = new ServiceLevelObjectives(settings.objectives(), runtimeEstimator);
-        Planner planner = new Planner(cluster, settings.workers().heartbeatIntervalMicros(), objectives);
-        this.capacity = new CapacityPlanner(cluster, objectives, runtimeEstimator);
+        PlanningErrors planningErrors = new PlanningErrors(eventLoop.unexpectedErrors()::report);
+        Planner planner =
+                new Planner(cluster, settings.workers().heartbeatIntervalMicros(), objectives, planningErrors);
+        this.capacity = new CapacityPlanner(cluster, objectives, runtimeEstimator, planningErrors);
         this.scheduling = new SchedulingRequests(cluster);
         this.jobs = newJobs();
         this.changes = new StoredChangeWatcher(eventLoop, store, cluster, election, jobs);
@@ -102,7 +105,7 @@
         this.status = new LeaderStatus(eventLoop, term, cluster, capacity, writeQueue);
         this.reachability = new LeaderReachability(eventLoop, settings, election, peers, cluster);
         this.agentClient = new AgentClient(eventLoop.unexpectedErrors(), services.httpClient(), term);
-        this.heartbeatProcessor = newHeartbeatProcessor(configuration.operator(), planner);
+        this.heartbeatProcessor = newHeartbeatProcessor(configuration.operator(), planner, planningErrors);
         this.fleet = newFleet(services, configuration);
         this.schedulingCycle = newSchedulingCycle(planner);
         this.stragglerDetector = new StragglerDetector(cluster, runtimeEstimator);
@@ -131,7 +134,8 @@
                 scheduling);
     }
 
-    private HeartbeatProcessor newHeartbeatProcessor(OperatorProperties operator, Planner planner) {
+    private HeartbeatProcessor newHeartbeatProcessor(
+            OperatorProperties operator, Planner planner, PlanningErrors planningErrors) {
         RetrySchedule retries = new RetrySchedule(
                 operator.retryInitialDelayMicros(),
                 operator.retryMaxDelayMicros(),
@@ -143,7 +147,7 @@
                 term,
                 cluster,
                 reconciler,
-                new CommandWriter(eventLoop, new AttemptIds(term), cluster, planner),
+                new CommandWriter(eventLoop, new AttemptIds(term), cluster, planner, planningErrors),
                 new MachineLeases(eventLoop, cluster, settings.workers(), reconciler, operations),
                 new UnresponsiveMachines(cluster, FleetThresholds.of(settings), operations),
                 operations);
--- a/src/main/java/io/sillreel/pipeline/ActiveJob.java
+++ b/src/main/java/io/sillreel/pipeline/ActiveJob.java
@@ -46,6 +46,7 @@
     private long readyWallMicros;
     private boolean isInherited;
     private boolean isCancelled;
+    private long planningSuspendedUntilMicros;
 
     /**
      * Creates a job that has not been released; {@link #inherit} restores the stored progress of one that has.
@@ -276,6 +277,16 @@
         retry = retry.afterFailure(schedule, wallMicros, cause);
     }
 
+    /** Leaves the job out of all plans until the given wall-clock time, because an unexpected error occurred for it. */
+    public void suspendPlanning(long untilWallMicros) {
+        planningSuspendedUntilMicros = untilWallMicros;
+    }
+
+    /** True if the job is left out of plans after an unexpected error. */
+    public boolean isPlanningSuspended(long wallMicros) {
+        return wallMicros < planningSuspendedUntilMicros;
+    }
+
     /** The write of the job's record; the same object every time, to be queued after each change. */
     public RunRecordWrite recordWrite() {
         return recordWrite;
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -23,13 +23,21 @@
     private final ScaleOutPlanner scaleOut;
     private final ScaleInPlanner scaleIn;
 
-    /** Creates a planner without recorded demand. */
-    public CapacityPlanner(Cluster cluster, ServiceLevelObjectives objectives, RuntimeEstimator runtimeEstimator) {
+    /**
+     * Creates a planner without recorded demand.
+     *
+     * @param errors confines errors to the job for which they occur
+     */
+    public CapacityPlanner(
+            Cluster cluster,
+            ServiceLevelObjectives objectives,
+            RuntimeEstimator runtimeEstimator,
+            PlanningErrors errors) {
         this.cluster = cluster;
         this.runtimeEstimator = runtimeEstimator;
         this.offers = new MachineOfferSelector(cluster);
-        this.workload = new DeadlineWorkload(cluster, objectives, runtimeEstimator, arrivingDemand);
-        this.scaleOut = new ScaleOutPlanner(cluster, arrivingDemand, workload, offers);
+        this.workload = new DeadlineWorkload(cluster, objectives, runtimeEstimator, arrivingDemand, errors);
+        this.scaleOut = new ScaleOutPlanner(cluster, arrivingDemand, workload, offers, errors);
         this.scaleIn = new ScaleInPlanner(cluster, arrivingDemand);
     }
 
--- a/src/main/java/io/sillreel/placement/DeadlineWorkload.java
+++ b/src/main/java/io/sillreel/placement/DeadlineWorkload.java
@@ -24,16 +24,19 @@
     private final ServiceLevelObjectives objectives;
     private final RuntimeEstimator runtimeEstimator;
     private final ArrivingDemand arrivingDemand;
+    private final PlanningErrors errors;
 
     DeadlineWorkload(
             Cluster cluster,
             ServiceLevelObjectives objectives,
             RuntimeEstimator runtimeEstimator,
-            ArrivingDemand arrivingDemand) {
+            ArrivingDemand arrivingDemand,
+            PlanningErrors errors) {
         this.cluster = cluster;
         this.objectives = objectives;
         this.runtimeEstimator = runtimeEstimator;
         this.arrivingDemand = arrivingDemand;
+        this.errors = errors;
     }
 
     /**
@@ -86,8 +89,10 @@
         Map<PriorityClass, Double> reservedCpus = reservedCpus(wallMicros);
         List<Load> loads = new ArrayList<>();
         for (ActiveJob job : cluster.jobs()) {
-            if (!job.isCancelled() && !job.hasUnmetDependencies() && wallMicros >= job.nextAttemptWallMicros()) {
-                loads.add(load(job, reservedCpus.get(job.effectivePriority()), wallMicros, bootMicros));
+            boolean isDue = wallMicros >= job.nextAttemptWallMicros() && !job.isPlanningSuspended(wallMicros);
+            if (isDue && !job.isCancelled() && !job.hasUnmetDependencies()) {
+                double reserved = reservedCpus.get(job.effectivePriority());
+                errors.confine(job, wallMicros, () -> loads.add(load(job, reserved, wallMicros, bootMicros)));
             }
         }
         loads.sort(Comparator.comparing(Load::priorityClass).thenComparingLong(Load::remainingMicros));
--- a/src/main/java/io/sillreel/placement/MachineBackfill.java
+++ b/src/main/java/io/sillreel/placement/MachineBackfill.java
@@ -23,6 +23,7 @@
     private final PlacementPlan plan;
     private final Machine machine;
     private final long wallMicros;
+    private final PlanningErrors errors;
     private final FreeCapacity capacity;
     /** The job that the machine is reserved for, or null. */
     private final QueuedJob reservedFor;
@@ -33,11 +34,12 @@
 
     private int examinedJobs;
 
-    MachineBackfill(Cluster cluster, PlacementPlan plan, Machine machine, long wallMicros) {
+    MachineBackfill(Cluster cluster, PlacementPlan plan, Machine machine, long wallMicros, PlanningErrors errors) {
         this.cluster = cluster;
         this.plan = plan;
         this.machine = machine;
         this.wallMicros = wallMicros;
+        this.errors = errors;
         this.capacity = new FreeCapacity(machine);
         this.reservedFor = plan.reservations().get(machine.name());
     }
@@ -63,14 +65,20 @@
     private void assignBand(List<QueuedJob> band, boolean isFirstPass) {
         for (QueuedJob queued : band) {
             examinedJobs++;
-            JobSpec spec = queued.job().spec();
-            boolean isPreferred = queued.isUrgent() || capacity.hasImage(spec);
-            if (isPreferred == isFirstPass && mayUseMachine(queued)) {
-                assign(queued);
+            if (!queued.job().isPlanningSuspended(wallMicros)) {
+                errors.confine(queued.job(), wallMicros, () -> assignInPass(queued, isFirstPass));
             }
         }
     }
 
+    private void assignInPass(QueuedJob queued, boolean isFirstPass) {
+        boolean isPreferred =
+                queued.isUrgent() || capacity.hasImage(queued.job().spec());
+        if (isPreferred == isFirstPass && mayUseMachine(queued)) {
+            assign(queued);
+        }
+    }
+
     private boolean mayUseMachine(QueuedJob queued) {
         JobSpec spec = queued.job().spec();
         boolean isReservedForOther = reservedFor != null && reservedFor.remainingTasks() > 0 && reservedFor != queued;
--- a/src/main/java/io/sillreel/placement/Planner.java
+++ b/src/main/java/io/sillreel/placement/Planner.java
@@ -10,20 +10,23 @@
  * does not grow with the fleet. Guarded by the cluster lock.
  */
 public final class Planner {
-    /** Maximum number of jobs that may preempt others in one plan, because each of them iterates over all machines. */
-    private static final int MAX_PREEMPTING_JOBS = 12;
-
     private final Cluster cluster;
     private final ServiceLevelObjectives objectives;
     private final LaunchEligibility eligibility;
+    private final PlanningErrors errors;
     private final QueueOrder order;
 
-    /** @param heartbeatIntervalMicros interval between two heartbeats of a worker, in microseconds */
-    public Planner(Cluster cluster, long heartbeatIntervalMicros, ServiceLevelObjectives objectives) {
+    /**
+     * @param heartbeatIntervalMicros interval between two heartbeats of a worker, in microseconds
+     * @param errors confines errors to the job for which they occur
+     */
+    public Planner(
+            Cluster cluster, long heartbeatIntervalMicros, ServiceLevelObjectives objectives, PlanningErrors errors) {
         this.cluster = cluster;
         this.objectives = objectives;
         this.eligibility = new LaunchEligibility(heartbeatIntervalMicros);
-        this.order = new QueueOrder(cluster, objectives);
+        this.errors = errors;
+        this.order = new QueueOrder(cluster, objectives, errors);
     }
 
     /** Returns true if the machine may be given new tasks now. */
@@ -38,7 +41,7 @@
      * @param wallMicros the time of day
      */
     public PlacementPlan plan(long nowMicros, long wallMicros) {
-        TeamGuarantees guarantees = new TeamGuarantees(cluster);
+        TeamGuarantees guarantees = new TeamGuarantees(cluster, errors, wallMicros);
         List<QueuedJob> queue = order.queue(guarantees.coveredJobs(), wallMicros);
         if (queue.isEmpty()) {
             return PlacementPlan.EMPTY;
@@ -46,12 +49,13 @@
         PlacementIndex index = indexFreeCapacity(queue, nowMicros);
         cluster.countSteps(queue.size() + cluster.machines().size());
         PlacementPlan plan = PlacementPlan.create();
-        placeQueue(
-                queue,
+        PlanningCycle cycle = new PlanningCycle(
                 new JobPlacer(cluster, index, plan),
                 new MachineReservations(cluster, eligibility, plan, nowMicros),
                 new Preemption(cluster, eligibility, objectives, plan, guarantees, nowMicros),
+                errors,
                 wallMicros);
+        cycle.placeQueue(queue);
         cluster.countSteps(index.steps());
         for (QueuedJob queued : queue) {
             if (queued.remainingTasks() > 0) {
@@ -61,37 +65,6 @@
         return plan;
     }
 
-    private static void placeQueue(
-            List<QueuedJob> queue,
-            JobPlacer placer,
-            MachineReservations reservations,
-            Preemption preemption,
-            long wallMicros) {
-        int preemptingJobs = 0;
-        int from = 0;
-        while (from < queue.size()) {
-            int to = QueueOrder.endOfBand(queue, from, Integer.MAX_VALUE);
-            List<QueuedJob> band = queue.subList(from, to);
-            // In the first pass, jobs that are not urgent use only machines that have their image. The second pass over
-            // the same band lets them use all machines.
-            for (QueuedJob queued : band) {
-                placer.place(queued, !queued.isUrgent());
-            }
-            for (QueuedJob queued : band) {
-                int unplacedTasks = placer.place(queued, false);
-                if (unplacedTasks > 0 && queued.isAged()) {
-                    reservations.reserve(queued);
-                }
-                if (unplacedTasks > 0
-                        && preemptingJobs < MAX_PREEMPTING_JOBS
-                        && preemption.preemptFor(queued, unplacedTasks, wallMicros)) {
-                    preemptingJobs++;
-                }
-            }
-            from = to;
-        }
-    }
-
     /** Indexes the machines that have capacity for the smallest of the waiting tasks. */
     private PlacementIndex indexFreeCapacity(List<QueuedJob> queue, long nowMicros) {
         double smallestCpus = Double.MAX_VALUE;
@@ -116,6 +89,6 @@
         if (plan.unplaced().isEmpty() || !eligibility.isSchedulable(machine, nowMicros)) {
             return List.of();
         }
-        return new MachineBackfill(cluster, plan, machine, wallMicros).backfill();
+        return new MachineBackfill(cluster, plan, machine, wallMicros, errors).backfill();
     }
 }
--- a/src/main/java/io/sillreel/placement/QueueOrder.java
+++ b/src/main/java/io/sillreel/placement/QueueOrder.java
@@ -33,10 +33,12 @@
 
     private final Cluster cluster;
     private final ServiceLevelObjectives objectives;
+    private final PlanningErrors errors;
 
-    QueueOrder(Cluster cluster, ServiceLevelObjectives objectives) {
+    QueueOrder(Cluster cluster, ServiceLevelObjectives objectives, PlanningErrors errors) {
         this.cluster = cluster;
         this.objectives = objectives;
+        this.errors = errors;
     }
 
     /**
@@ -48,7 +50,7 @@
         List<QueuedJob> queue = new ArrayList<>();
         for (ActiveJob job : cluster.jobs()) {
             if (job.waitingCount() > 0 && cluster.isLaunchable(job, wallMicros)) {
-                queue.add(queuedJob(job, guaranteed.contains(job), wallMicros));
+                errors.confine(job, wallMicros, () -> queue.add(queuedJob(job, guaranteed.contains(job), wallMicros)));
             }
         }
         queue.sort(Comparator.comparing(QueuedJob::priorityBand)
--- a/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
+++ b/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
@@ -22,15 +22,21 @@
     private final ArrivingDemand arrivingDemand;
     private final DeadlineWorkload workload;
     private final MachineOfferSelector offers;
+    private final PlanningErrors errors;
     /** Start of the current shortage, in which the available machines can't meet all deadlines; -1 if there is none. */
     private long shortageSinceMicros = -1;
 
     ScaleOutPlanner(
-            Cluster cluster, ArrivingDemand arrivingDemand, DeadlineWorkload workload, MachineOfferSelector offers) {
+            Cluster cluster,
+            ArrivingDemand arrivingDemand,
+            DeadlineWorkload workload,
+            MachineOfferSelector offers,
+            PlanningErrors errors) {
         this.cluster = cluster;
         this.arrivingDemand = arrivingDemand;
         this.workload = workload;
         this.offers = offers;
+        this.errors = errors;
     }
 
     /**
@@ -162,17 +168,23 @@
         for (ActiveJob job : cluster.jobs()) {
             boolean isWaiting =
                     cluster.isLaunchable(job, wallMicros) && job.waitingCount() > 0 && job.allocatedCount() == 0;
-            if (isWaiting && !hasSuitableMachine(job, nowMicros)) {
-                CapacityNeed need = new CapacityNeed(job.spec().cpus(), job.spec(), true, true);
-                Optional<ScaleOutProposal> proposal = offers.selectCheapest(types, need, proposals, nowMicros);
-                if (proposal.isPresent()) {
-                    proposals.add(proposal.get());
-                    return;
-                }
+            if (isWaiting) {
+                errors.confine(job, wallMicros, () -> proposeIfUnplaceable(job, types, nowMicros, proposals));
+            }
+            if (!proposals.isEmpty()) {
+                return;
             }
         }
     }
 
+    private void proposeIfUnplaceable(
+            ActiveJob job, Collection<MachineType> types, long nowMicros, List<ScaleOutProposal> proposals) {
+        if (!hasSuitableMachine(job, nowMicros)) {
+            CapacityNeed need = new CapacityNeed(job.spec().cpus(), job.spec(), true, true);
+            offers.selectCheapest(types, need, proposals, nowMicros).ifPresent(proposals::add);
+        }
+    }
+
     private boolean hasSuitableMachine(ActiveJob job, long nowMicros) {
         for (Machine machine : cluster.machines()) {
             if (MachineAvailability.isAvailableSoon(machine, nowMicros)
--- a/src/main/java/io/sillreel/placement/TeamGuarantees.java
+++ b/src/main/java/io/sillreel/placement/TeamGuarantees.java
@@ -24,34 +24,40 @@
 
     private final Set<ActiveJob> coveredJobs;
 
-    TeamGuarantees(Cluster cluster) {
+    TeamGuarantees(Cluster cluster, PlanningErrors errors, long wallMicros) {
         this.cluster = cluster;
-        this.coveredJobs = coveredJobs(cluster);
+        this.coveredJobs = coveredJobs(cluster, errors, wallMicros);
     }
 
     /**
      * Finds the jobs that fit into their team's guarantee together with the team's unfinished jobs admitted earlier.
      */
-    private static Set<ActiveJob> coveredJobs(Cluster cluster) {
+    private static Set<ActiveJob> coveredJobs(Cluster cluster, PlanningErrors errors, long wallMicros) {
         QuotaUsage claimed = new QuotaUsage();
         Set<ActiveJob> covered = new HashSet<>();
         List<ActiveJob> jobs = new ArrayList<>(cluster.jobs());
         jobs.sort(Comparator.comparingLong(ActiveJob::planRevision));
         for (ActiveJob job : jobs) {
             Team team = cluster.team(job.spec().team());
-            if (job.isCancelled() || job.hasUnmetDependencies() || team == null) {
-                continue;
-            }
-            claimed.add(job.spec(), job.spec().tasks());
-            QuotaUsage.Amount teamClaim = claimed.ofTeam(job.spec().team());
-            if (teamClaim.cpus() <= QuotaUsage.toMilli(team.guaranteedCpus())
-                    && teamClaim.gpus() <= QuotaUsage.toMilli(team.guaranteedGpus())) {
-                covered.add(job);
+            boolean isWanted =
+                    !job.isCancelled() && !job.hasUnmetDependencies() && !job.isPlanningSuspended(wallMicros);
+            if (isWanted && team != null) {
+                errors.confine(job, wallMicros, () -> {
+                    claimed.add(job.spec(), job.spec().tasks());
+                    if (isWithinGuarantee(claimed.ofTeam(job.spec().team()), team)) {
+                        covered.add(job);
+                    }
+                });
             }
         }
         return covered;
     }
 
+    private static boolean isWithinGuarantee(QuotaUsage.Amount claimed, Team team) {
+        return claimed.cpus() <= QuotaUsage.toMilli(team.guaranteedCpus())
+                && claimed.gpus() <= QuotaUsage.toMilli(team.guaranteedGpus());
+    }
+
     /** Returns the jobs that are within their team's guarantee; not to be modified. */
     Set<ActiveJob> coveredJobs() {
         return coveredJobs;
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -23,6 +23,7 @@
 import io.sillreel.pipeline.Urgency;
 import io.sillreel.settings.Settings.Team;
 import io.sillreel.settings.ValueLimits;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -38,8 +39,10 @@
 
     private final Cluster cluster = new Cluster(Map.of(
             "s", new Team("s", 8, 100, 0, 0), "t", new Team("t", 8, 100, 0, 0), "free", new Team("free", 0, 0, 0, 0)));
+    private final List<String> reportedErrors = new ArrayList<>();
+    private final PlanningErrors errors = new PlanningErrors((work, error) -> reportedErrors.add(work));
     private final Planner planner =
-            new Planner(cluster, SECOND, new ServiceLevelObjectives(List.of(), new RuntimeEstimator()));
+            new Planner(cluster, SECOND, new ServiceLevelObjectives(List.of(), new RuntimeEstimator()), errors);
     private long nowMicros = 1_000 * SECOND;
     private long lastAttempt;
     private int jobCount;
@@ -203,6 +206,23 @@
         assertThat(plan().preemptions()).isEmpty();
     }
 
+    /** Guards the jobs of all teams against an error that occurs for one job: it ended every plan. */
+    @Test
+    void errorInPlanningOneJobLeavesOutOnlyThatJob() {
+        ActiveJob withoutPlacement = job("s", PriorityClass.HIGH, 2, 0, TASK_WITHOUT_CPUS, null);
+        ActiveJob sound = job("t", PriorityClass.NORMAL, 2, 1, 0, false);
+        Machine one = machine(1);
+        assertThat(plan().launches().get(one.name())).containsExactly(new TaskAssignment(sound, 2));
+        assertThat(plan().launches().get(one.name())).containsExactly(new TaskAssignment(sound, 2));
+        assertThat(reportedErrors)
+                .as("it is reported with its id, and not for each plan")
+                .containsExactly("the planning of job " + withoutPlacement.uid());
+        nowMicros += PlanningErrors.RETRY_DELAY_MICROS;
+        machine(2);
+        plan();
+        assertThat(reportedErrors).as("it is tried again after a while").hasSize(2);
+    }
+
     /** Guards jobs without CPUs: each plan put their tasks on a machine that could not have any more of them. */
     @Test
     void placesTasksWithoutCpusOnMachineWithFreeTaskSlots() {
--- a/src/test/java/io/sillreel/placement/PriorityInheritanceTest.java
+++ b/src/test/java/io/sillreel/placement/PriorityInheritanceTest.java
@@ -128,7 +128,7 @@
         ActiveJob waiting = addJob("job-000002", PriorityClass.NORMAL, -1, "job-000001");
         ActiveJob independent = addJob("job-000003", PriorityClass.NORMAL, -1);
         ActiveJob beyond = addJob("job-000004", PriorityClass.NORMAL, -1);
-        assertThat(new TeamGuarantees(cluster).coveredJobs())
+        assertThat(new TeamGuarantees(cluster, new PlanningErrors((work, error) -> {}), 0).coveredJobs())
                 .contains(first, independent)
                 .doesNotContain(waiting, beyond);
     }
