An estimate that is far too high wants no more machines than its tasks can use

What callers would see: one job with "guess_s": 1e12 makes the leader rent all machines of the cloud, as long as it is unfinished, and for 150 s as steady demand.

Cause: the work that has to be done before the deadline of one job includes all work of the jobs served before it, even what those can't do by then with all their tasks running. Estimates up to 1e18 microseconds overflowed sums.

Change: work of tasks that are longer than ten minutes counts as far as the tasks can use CPUs by then (DueWork). Tasks count as at most ten minutes in the steady demand. The sum of the steady demand starts anew when no arrival is left in it.

--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -15,6 +15,9 @@
  * lowest available price. Guarded by the cluster lock.
  */
 public final class CapacityPlanner {
+    /** Longer tasks count as this long in the steady demand: nobody knows whether work as long will keep arriving. */
+    private static final long MAX_STEADY_OCCUPANCY_MICROS = 600_000_000;
+
     private final Cluster cluster;
     private final RuntimeEstimator runtimeEstimator;
     private final MachineOfferSelector offers;
@@ -53,7 +56,8 @@
      * new leader rebuilds the estimate from the stored plans.
      */
     public void recordArrival(JobSpec spec, long readyWallMicros) {
-        double cpuMicros = spec.tasks() * spec.cpus() * runtimeEstimator.occupancyMicros(spec);
+        long occupancyMicros = Math.min(MAX_STEADY_OCCUPANCY_MICROS, runtimeEstimator.occupancyMicros(spec));
+        double cpuMicros = spec.tasks() * spec.cpus() * occupancyMicros;
         arrivingDemand.recordArrival(spec, readyWallMicros, cpuMicros);
     }
 
--- a/src/main/java/io/sillreel/placement/DeadlineWorkload.java
+++ b/src/main/java/io/sillreel/placement/DeadlineWorkload.java
@@ -39,21 +39,13 @@
         this.errors = errors;
     }
 
-    /**
-     * The unfinished work of one job.
-     *
-     * @param cpuMicros the work in CPU-microseconds
-     * @param remainingMicros time within which the work should be done
-     * @param reservedCpus CPUs reserved for arriving work of higher priority classes
-     */
-    private record Load(PriorityClass priorityClass, double cpuMicros, long remainingMicros, double reservedCpus) {}
-
     /** Returns the CPUs with which all unfinished work would meet its deadlines. */
     double requiredCpus(long wallMicros) {
-        double cpuMicros = 0;
+        DueWork dueWork = new DueWork();
         double required = 0;
         for (Load load : loads(wallMicros, 0)) {
-            cpuMicros += load.cpuMicros();
+            dueWork.add(load);
+            double cpuMicros = dueWork.cpuMicrosWithin(load.remainingMicros());
             required = Math.max(required, load.reservedCpus() + cpuMicros / load.remainingMicros());
         }
         return required;
@@ -68,10 +60,11 @@
      * @param onlyReachableDeadlines true to consider only deadlines that new machines can still help to meet
      */
     double missingCpus(double availableCpus, long bootMicros, boolean onlyReachableDeadlines, long wallMicros) {
-        double cpuMicros = 0;
+        DueWork dueWork = new DueWork();
         double missing = 0;
         for (Load load : loads(wallMicros, onlyReachableDeadlines ? bootMicros : 0)) {
-            cpuMicros += load.cpuMicros();
+            dueWork.add(load);
+            double cpuMicros = dueWork.cpuMicrosWithin(load.remainingMicros());
             double excessCpuMicros = cpuMicros - (availableCpus - load.reservedCpus()) * load.remainingMicros();
             if (excessCpuMicros > 0) {
                 long usableMicros = load.remainingMicros() - bootMicros;
@@ -120,6 +113,13 @@
             // The job will be late in any case. It should complete soon, but without one machine for each of its tasks.
             remainingMicros = bootMicros > 0 ? bootMicros + LATE_JOB_SEQUENTIAL_TASKS * taskMicros : taskMicros;
         }
-        return new Load(job.effectivePriority(), tasks * spec.cpus() * taskMicros, remainingMicros, reservedCpus);
+        double parallelCpus = (job.waitingCount() + job.allocatedCount()) * spec.cpus();
+        return new Load(
+                job.effectivePriority(),
+                tasks * spec.cpus() * taskMicros,
+                parallelCpus,
+                taskMicros,
+                remainingMicros,
+                reservedCpus);
     }
 }
--- a/src/main/java/io/sillreel/placement/DemandEstimator.java
+++ b/src/main/java/io/sillreel/placement/DemandEstimator.java
@@ -43,6 +43,8 @@
             totalCpuMicros -= arrivals.poll().cpuMicros();
         }
         if (arrivals.isEmpty()) {
+            // Rounding errors of the sum must not be taken for demand.
+            totalCpuMicros = 0;
             return 0;
         }
         long windowMicros = Math.max(MIN_WINDOW_MICROS, Math.min(WINDOW_MICROS, wallMicros - firstArrivalMicros));
--- a/src/main/java/io/sillreel/placement/RuntimeEstimator.java
+++ b/src/main/java/io/sillreel/placement/RuntimeEstimator.java
@@ -21,6 +21,10 @@
 
     private static final double MAX_RUNTIME_RATIO = 4;
     private static final long MIN_RUNTIME_MICROS = 1_000_000;
+    /** Longer estimates count as this long (30 days), so that sums of them do not overflow. */
+    private static final long MAX_RUNTIME_MICROS = 30L * 24 * 3_600 * 1_000_000;
+    /** Longer estimated image pulls count as this long (one day). */
+    private static final long MAX_PULL_MICROS = 24L * 3_600 * 1_000_000;
     /** Time that a task occupies its resources before and after its run, due to the delay of heartbeats. */
     private static final long HEARTBEAT_OVERHEAD_MICROS = 1_500_000;
     /** Share of one task in the image pull, which all tasks of the job on the machine have in common. */
@@ -56,7 +60,7 @@
             runtimeRatios.merge(spec.jobClass(), ratio, RuntimeEstimator::movingAverage);
         }
         TaskRuntimes runtimes = job.runtimes();
-        if (runtimes.count() >= MIN_TASKS_FOR_TAIL && runtimes.count() == spec.tasks()) {
+        if (runtimes.count() >= MIN_TASKS_FOR_TAIL && runtimes.count() == spec.tasks() && runtimes.totalMicros() > 0) {
             double tail =
                     Math.min(MAX_TAIL_RATIO, (double) runtimes.maxMicros() * runtimes.count() / runtimes.totalMicros());
             tailRatios.merge(spec.jobClass(), tail, RuntimeEstimator::movingAverage);
@@ -78,20 +82,23 @@
     }
 
     private static long overheadMicros(JobSpec spec) {
-        return HEARTBEAT_OVERHEAD_MICROS + Math.round(spec.imageGb() * SHARED_PULL_MICROS_PER_GB);
+        return HEARTBEAT_OVERHEAD_MICROS + pullMicros(spec, SHARED_PULL_MICROS_PER_GB);
+    }
+
+    private static long pullMicros(JobSpec spec, double microsPerGb) {
+        return Math.min(MAX_PULL_MICROS, Math.round(spec.imageGb() * microsPerGb));
     }
 
     /** Returns the expected time from the completion of the job's dependencies to its own completion. */
     public long makespanMicros(ActiveJob job) {
-        return slowestTaskMicros(job)
-                + SCHEDULING_MICROS
-                + Math.round(job.spec().imageGb() * FULL_PULL_MICROS_PER_GB);
+        return slowestTaskMicros(job) + SCHEDULING_MICROS + pullMicros(job.spec(), FULL_PULL_MICROS_PER_GB);
     }
 
     /** Returns the expected run time of a task based on its job class, without the image pull. */
     public synchronized long expectedRuntimeMicros(JobSpec spec) {
         double ratio = runtimeRatios.getOrDefault(spec.jobClass(), 1.0);
-        return Math.max(MIN_RUNTIME_MICROS, Math.round(spec.estimatedMicros() * ratio));
+        long expectedMicros = Math.round(spec.estimatedMicros() * ratio);
+        return Math.max(MIN_RUNTIME_MICROS, Math.min(MAX_RUNTIME_MICROS, expectedMicros));
     }
 
     /**
