A suspect machine gets tasks again after 20 s, and a failed job its only machine

What callers saw: the only machine of its kind failed a job's tasks for ten seconds.

Cause: a failure made the machine suspect (no tasks) and excluded it for the job until a task of that job succeeded or failed on a second machine. For a job that has no second machine neither ever happens, and the failure does not count as an attempt, so the stored schedule of retries never begins.

Change: quarantine and exclusion end after 20 s (SuspicionReview). Then the job is tried once more on the machine if it finds no other, and a failure there counts as its attempt. If that goes on for four attempts on the one machine, and no task of any job shows that the machine is sound, the machine is replaced, once for each job. A task that started later and was done proves a machine sound. Two jobs that fail on one machine within its quarantine no longer cost it: it is drained once one of them succeeds elsewhere, or when a further job fails on it after the quarantine. A job that is known to fail raises no further suspicions, and the tasks that are still running when its attempt has failed count as that attempt. JobFailures holds what ActiveJob handed out as a set of names. On the way: a probe of a failed job may go to a machine that has ignored a command (each waited for the other), and no machine is reserved for a job that may not use it.

--- a/src/main/java/io/sillreel/heartbeat/FaultAttribution.java
+++ b/src/main/java/io/sillreel/heartbeat/FaultAttribution.java
@@ -1,36 +1,67 @@
 package io.sillreel.heartbeat;
 
 import io.sillreel.cluster.Machine;
+import io.sillreel.cluster.MachineHealth;
 import io.sillreel.pipeline.ActiveJob;
+import io.sillreel.pipeline.JobFailures;
 
 /**
  * Decides whether the machine or the job is at fault for a failed task. A single failure is inconclusive: a faulty
- * machine fails tasks of every job, a faulty job fails on every machine. Until the fault is attributed, the machine
- * gets no launches and the job is retried with one task on another machine.
+ * machine fails tasks of every job, a faulty job fails on every machine. Until the fault is attributed, the machine is
+ * in quarantine and the job is retried with one task on another machine. Both end after a while without evidence, since
+ * the job may be cancelled or may have no other machine ({@link SuspicionReview}).
  */
 final class FaultAttribution {
     /** The cause of a task failure. */
     enum Fault {
         UNKNOWN,
         MACHINE,
-        JOB
+        JOB,
+        /** The job's attempt has been counted as failed already. */
+        COUNTED
     }
 
-    /** Number of machines, none of them known to be faulty, on which tasks of a job fail before the job is at fault. */
+    /** Number of machines, none of them suspected by other jobs, on which tasks of a job fail if it is at fault. */
     private static final int MIN_FAILED_MACHINES = 2;
+    /** Number of machines, suspected by other jobs or not, on which tasks of a job fail if it is at fault. */
+    private static final int MIN_FAILED_OR_SUSPECT_MACHINES = 3;
 
     private FaultAttribution() {}
 
-    /** Records that a task of the job failed on the machine, and attributes the fault. */
-    static Fault attribute(ActiveJob job, Machine machine) {
-        if (job.hasCompletedTask()) {
-            return Fault.MACHINE;
+    /**
+     * Records that a task of the job failed on the machine, and attributes the fault.
+     *
+     * @param startedMicros when the task started, at the latest
+     */
+    static Fault attribute(ActiveJob job, Machine machine, long startedMicros, long nowMicros, long wallMicros) {
+        MachineHealth health = machine.health();
+        JobFailures failures = job.failures();
+        if (wallMicros < job.nextAttemptWallMicros()) {
+            return Fault.COUNTED;
         }
-        machine.health().addSuspicion(job.uid());
-        job.failedMachines().add(machine.name());
-        if (machine.health().suspicions().size() > 1) {
+        boolean isRepetition = failures.isRepetition(machine.name());
+        if (!isRepetition && job.hasCompletedTask() && !health.isProvenSoundSince(startedMicros)) {
             return Fault.MACHINE;
         }
-        return job.failedMachines().size() >= MIN_FAILED_MACHINES ? Fault.JOB : Fault.UNKNOWN;
+        failures.add(machine.name(), startedMicros);
+        if (isRepetition || health.isProvenSoundSince(startedMicros)) {
+            return Fault.JOB;
+        }
+        if (job.failedAttempts() == 0) {
+            boolean isOnProbation = health.isOnProbation();
+            health.addSuspicion(job.uid(), startedMicros, nowMicros);
+            if (health.suspicions().size() > 1) {
+                if (isOnProbation) {
+                    return Fault.MACHINE;
+                }
+                failures.markMachineSuspect(machine.name());
+            }
+        }
+        return isJobAtFault(failures) ? Fault.JOB : Fault.UNKNOWN;
+    }
+
+    private static boolean isJobAtFault(JobFailures failures) {
+        return failures.unexplainedCount() >= MIN_FAILED_MACHINES
+                || failures.unresolvedCount() >= MIN_FAILED_OR_SUSPECT_MACHINES;
     }
 }
--- a/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
+++ b/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
@@ -3,11 +3,13 @@
 import io.sillreel.cluster.Allocation;
 import io.sillreel.cluster.Cluster;
 import io.sillreel.cluster.Machine;
+import io.sillreel.cluster.MachineHealth;
 import io.sillreel.http.EventLoop;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.RetrySchedule;
 import io.sillreel.placement.RuntimeEstimator;
 import io.sillreel.statestore.WriteQueue;
+import java.util.Collection;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -18,6 +20,9 @@
 public final class TaskEndHandler {
     private static final Logger LOG = LoggerFactory.getLogger(TaskEndHandler.class);
 
+    /** Number of failed attempts of a job after which the machine on which it failed last is replaced. */
+    private static final int ATTEMPTS_BEFORE_REPLACEMENT = 4;
+
     private final EventLoop eventLoop;
     private final Cluster cluster;
     private final WriteQueue writeQueue;
@@ -47,7 +52,7 @@
         allocation.release();
         switch (cause) {
             case "done" -> handleCompletion(machine, job, allocation, nowMicros);
-            case "error" -> handleFailure(machine, job, allocation);
+            case "error" -> handleFailure(machine, job, allocation, nowMicros);
             case "no_room", "busy", "no_such" ->
                 LOG.info(
                         "machine {} rejected task {}/{}: {}",
@@ -73,39 +78,80 @@
                             (double) runtimeMicros / runtimeEstimator.expectedRuntimeMicros(job.spec()), job.uid());
             runtimeEstimator.recordRuntime(job, runtimeMicros);
         }
-        machine.health().clearSuspicion(job.uid());
+        recordSoundness(machine, job, allocation);
         drainMachinesThatFailed(job);
         if (job.markTaskDone(allocation.taskIndex()) && !job.isCancelled()) {
             writeQueue.enqueue(job.recordWrite());
         }
     }
 
+    /**
+     * Records that the machine was sound when the task started; jobs that have failed on it may be tried there again.
+     */
+    private void recordSoundness(Machine machine, ActiveJob job, Allocation allocation) {
+        MachineHealth health = machine.health();
+        health.clearSuspicion(job.uid());
+        // When a task of an earlier term started is not known.
+        boolean isStartKnown = allocation.launchSequence() > 0 && allocation.runningSinceMicros() >= 0;
+        if (!isStartKnown) {
+            return;
+        }
+        Collection<String> suspicionsBefore = health.suspicions();
+        health.recordDone(allocation.runningSinceMicros());
+        for (String uid : suspicionsBefore) {
+            ActiveJob failedJob = cluster.job(uid);
+            if (failedJob != null && !health.isSuspectFor(uid)) {
+                LOG.info(
+                        "machine {} is sound: job {} was done on it after job {} failed",
+                        machine.name(),
+                        job.uid(),
+                        uid);
+                failedJob.failures().allowRetry(machine.name());
+            }
+        }
+    }
+
     /** Drains the machines on which the job failed before: since it succeeded elsewhere, they were at fault. */
     private void drainMachinesThatFailed(ActiveJob job) {
-        for (String name : job.failedMachines()) {
+        for (String name : job.failures().unresolvedMachines()) {
             Machine suspect = cluster.machine(name);
-            if (suspect != null && suspect.health().suspicions().contains(job.uid())) {
+            if (suspect != null && suspect.health().isSuspectFor(job.uid())) {
                 LOG.info("machine {} is considered faulty: job {} succeeded on another machine", name, job.uid());
-                suspect.drain();
+                drainFaulty(suspect);
             }
         }
     }
 
-    private void handleFailure(Machine machine, ActiveJob job, Allocation allocation) {
+    private void drainFaulty(Machine machine) {
+        machine.drain();
+        for (String uid : machine.health().suspicions()) {
+            ActiveJob job = cluster.job(uid);
+            if (job != null) {
+                job.failures().forget(machine.name());
+            }
+        }
+    }
+
+    private void handleFailure(Machine machine, ActiveJob job, Allocation allocation, long nowMicros) {
         if (job.isCancelled() || machine.state() == Machine.State.DRAINING) {
             return;
         }
-        switch (FaultAttribution.attribute(job, machine)) {
+        long startedMicros = allocation.runningSinceMicros() >= 0 ? allocation.runningSinceMicros() : nowMicros;
+        switch (FaultAttribution.attribute(job, machine, startedMicros, nowMicros, eventLoop.wallMicros())) {
             case MACHINE -> {
                 LOG.info(
                         "machine {} is considered faulty: task {}/{} failed on it",
                         machine.name(),
                         allocation.uid(),
                         allocation.taskIndex());
-                machine.drain();
-                job.failedMachines().remove(machine.name());
+                drainFaulty(machine);
             }
-            case JOB -> recordFailedAttempt(job);
+            case JOB -> {
+                recordFailedAttempt(job);
+                replaceIfOnlyMachine(machine, job);
+            }
+            case COUNTED ->
+                LOG.debug("task {}/{} failed on machine {}", allocation.uid(), allocation.taskIndex(), machine.name());
             default ->
                 LOG.info(
                         "task {}/{} failed on machine {}, retrying it on another machine",
@@ -119,10 +165,33 @@
         for (Machine suspect : cluster.machines()) {
             suspect.health().clearSuspicion(job.uid());
         }
-        job.recordFailedAttempt(
-                retries, eventLoop.wallMicros(), "its tasks failed on " + String.join(" and ", job.failedMachines()));
-        job.failedMachines().clear();
+        String cause =
+                "its tasks failed on " + String.join(" and ", job.failures().unresolvedMachines());
+        job.failures().attributeToJob();
+        job.recordFailedAttempt(retries, eventLoop.wallMicros(), cause);
         LOG.info("job {}: {}", job.uid(), job.reason());
         writeQueue.enqueue(job.recordWrite());
     }
+
+    /**
+     * Replaces a machine on which a job fails again and again if the job was tried on no other, and no task shows that
+     * the machine is sound: the job may have no other machine. This happens at most once for each job.
+     */
+    private void replaceIfOnlyMachine(Machine machine, ActiveJob job) {
+        boolean isOnlyEvidence = job.failedAttempts() >= ATTEMPTS_BEFORE_REPLACEMENT
+                && job.failures().areAttributedOnlyOn(machine.name());
+        if (isOnlyEvidence
+                && !hasLiveTasksOfOthers(machine, job)
+                && !machine.health().isProvenSoundSince(job.failures().firstStartMicros(machine.name()))) {
+            LOG.info(
+                    "machine {} is replaced: job {} keeps failing on it, and no task was done",
+                    machine.name(),
+                    job.uid());
+            drainFaulty(machine);
+        }
+    }
+
+    private static boolean hasLiveTasksOfOthers(Machine machine, ActiveJob job) {
+        return machine.allocations().stream().anyMatch(allocation -> !allocation.hasEnded() && allocation.job() != job);
+    }
 }
--- a/src/main/java/io/sillreel/leadership/LeaderTerm.java
+++ b/src/main/java/io/sillreel/leadership/LeaderTerm.java
@@ -9,7 +9,6 @@
 import io.sillreel.fleet.FleetManager;
 import io.sillreel.fleet.FleetThresholds;
 import io.sillreel.fleet.SpotInterruptionDrain;
-import io.sillreel.fleet.StragglerDetector;
 import io.sillreel.heartbeat.AttemptIds;
 import io.sillreel.heartbeat.CommandWriter;
 import io.sillreel.heartbeat.HeartbeatProcessor;
@@ -69,7 +68,7 @@
     private final HeartbeatProcessor heartbeatProcessor;
     private final FleetManager fleet;
     private final SchedulingCycle schedulingCycle;
-    private final StragglerDetector stragglerDetector;
+    private final MachineReview machineReview;
     private final StoredStateLoader stateLoader;
     private final Operations operations = new Operations();
     private long fleetCycleMicros;
@@ -108,7 +107,7 @@
         this.heartbeatProcessor = newHeartbeatProcessor(configuration.operator(), planner, planningErrors);
         this.fleet = newFleet(services, configuration);
         this.schedulingCycle = newSchedulingCycle(planner);
-        this.stragglerDetector = new StragglerDetector(cluster, runtimeEstimator);
+        this.machineReview = new MachineReview(cluster, runtimeEstimator);
         this.stateLoader = newStateLoader(configuration);
     }
 
@@ -265,19 +264,13 @@
         errors.runConfined("the scheduling cycle", () -> schedulingCycle.tick(now));
         if (authority.mayLaunchOrScale() && now - fleetCycleMicros > FLEET_CYCLE_MICROS) {
             fleetCycleMicros = now;
-            errors.runConfined("the search for stragglers", () -> drainStragglers(now));
+            errors.runConfined("the review of machines", () -> machineReview.review(now));
             errors.runConfined("the fleet cycle", fleet::runCycle);
             errors.runConfined("the removal of cancelled jobs", jobs::removeCancelledJobs);
             errors.runConfined("the periodic status", status::logPeriodically);
         }
     }
 
-    private void drainStragglers(long now) {
-        synchronized (cluster) {
-            stragglerDetector.drainStragglers(now);
-        }
-    }
-
     @Override
     public Optional<Counts> countsOf(String uid) {
         synchronized (cluster) {
--- a/src/main/java/io/sillreel/pipeline/ActiveJob.java
+++ b/src/main/java/io/sillreel/pipeline/ActiveJob.java
@@ -2,9 +2,7 @@
 
 import io.sillreel.settings.ValueLimits;
 import io.sillreel.statestore.PendingWrite;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * In-memory state of an unfinished job on the leader: which tasks are done, which are allocated to a machine, the
@@ -39,7 +37,7 @@
     private final TaskOccupancy occupancy;
     private final TaskRuntimes runtimes = new TaskRuntimes();
     private final EffectiveUrgency urgency;
-    private final Set<String> failedMachines = new HashSet<>();
+    private final JobFailures failures = new JobFailures();
     private RetryState retry = RetryState.NONE;
     private boolean hasCompletedTask;
     private boolean isReady;
@@ -201,7 +199,7 @@
         }
         occupancy.markDone(task);
         hasCompletedTask = true;
-        failedMachines.clear();
+        failures.clear();
         retry = RetryState.NONE;
         return true;
     }
@@ -267,9 +265,14 @@
         return hasCompletedTask;
     }
 
-    /** Names of the machines on which tasks of the current attempt failed; modified by callers. */
-    public Set<String> failedMachines() {
-        return failedMachines;
+    /** The machines on which tasks failed since a task was last done. */
+    public JobFailures failures() {
+        return failures;
+    }
+
+    /** The number of failed attempts that were attributed to the job since a task was last done. */
+    public int failedAttempts() {
+        return retry.failedAttempts();
     }
 
     /** Records an attempt whose failure is attributed to the job, and schedules the next attempt or parks the job. */
--- a/src/main/java/io/sillreel/placement/JobPlacer.java
+++ b/src/main/java/io/sillreel/placement/JobPlacer.java
@@ -2,6 +2,7 @@
 
 import io.sillreel.cluster.Cluster;
 import io.sillreel.cluster.QuotaUsage;
+import io.sillreel.pipeline.JobFailures;
 import io.sillreel.pipeline.JobSpec;
 import java.util.HashMap;
 import java.util.Map;
@@ -28,16 +29,19 @@
      * @return number of tasks that found no capacity, without those held back by the quota
      */
     int place(QueuedJob queued, boolean onlyWithImage) {
-        int wanted = Math.min(
-                queued.remainingTasks(), cluster.quotaHeadroom(queued.job().spec(), usage));
-        if (queued.isProbing()) {
-            wanted = Math.min(wanted, queued.job().allocatedCount() == 0 ? 1 : 0);
-        }
+        JobSpec spec = queued.job().spec();
+        int wanted = Math.min(queued.launchableTasks(), cluster.quotaHeadroom(spec, usage));
         if (wanted <= 0) {
             return 0;
         }
         TaskPlacement placement = new TaskPlacement(queued, wanted);
-        index.visitMachines(queued.job().spec(), queued.remainingTasks(), onlyWithImage, placement);
+        index.visitMachines(spec, queued.remainingTasks(), onlyWithImage, placement);
+        if (!placement.isSatisfied()
+                && !onlyWithImage
+                && queued.job().failures().mayBeRepeated()) {
+            placement.allowRepetition();
+            index.visitMachines(spec, queued.remainingTasks(), false, placement);
+        }
         return queued.isProbing() ? 0 : placement.wantedTasks;
     }
 
@@ -47,6 +51,8 @@
         private final JobSpec spec;
         private final Map<String, Integer> zoneHeadroom = new HashMap<>();
         private int wantedTasks;
+        /** True if machines on which the job has failed may be used, unless they are excluded. */
+        private boolean isRepetitionAllowed;
         /** Zone of the tasks placed so far; with zone affinity the remaining tasks have to use it too. */
         private String zoneOfTasks;
 
@@ -56,6 +62,15 @@
             this.wantedTasks = wantedTasks;
         }
 
+        void allowRepetition() {
+            isRepetitionAllowed = true;
+        }
+
+        private boolean mayUse(String machine) {
+            JobFailures failures = queued.job().failures();
+            return isRepetitionAllowed ? !failures.excludes(machine) : !failures.includes(machine);
+        }
+
         @Override
         public boolean isSatisfied() {
             return wantedTasks == 0;
@@ -73,8 +88,7 @@
         @Override
         public boolean place(FreeCapacity capacity) {
             String machine = capacity.machine().name();
-            if (plan.isReservedForOther(machine, queued)
-                    || queued.job().failedMachines().contains(machine)) {
+            if (plan.isReservedForOther(machine, queued) || !mayUse(machine)) {
                 return false;
             }
             String zone = capacity.machine().zone();
--- a/src/main/java/io/sillreel/placement/LaunchEligibility.java
+++ b/src/main/java/io/sillreel/placement/LaunchEligibility.java
@@ -23,8 +23,8 @@
                 && nowMicros - machine.lastHeartbeatMicros() < MISSED_HEARTBEATS_LIMIT * heartbeatIntervalMicros;
     }
 
-    /** Returns true if the machine accepts launches and is not suspected of making tasks fail. */
+    /** Returns true if the machine accepts launches and is not in quarantine. */
     boolean isSchedulable(Machine machine, long nowMicros) {
-        return acceptsLaunches(machine, nowMicros) && !machine.health().isSuspect();
+        return acceptsLaunches(machine, nowMicros) && !machine.health().isQuarantined();
     }
 }
--- a/src/main/java/io/sillreel/placement/MachineAvailability.java
+++ b/src/main/java/io/sillreel/placement/MachineAvailability.java
@@ -12,7 +12,8 @@
     /** Returns true if the machine is available for work, or will soon be. */
     static boolean isAvailableSoon(Machine machine, long nowMicros) {
         return switch (machine.state()) {
-            case UP -> !machine.isInterrupted() && !machine.health().isSuspect() && !isLeaseExpired(machine, nowMicros);
+            case UP ->
+                !machine.isInterrupted() && !machine.health().isQuarantined() && !isLeaseExpired(machine, nowMicros);
             case PROVISIONING ->
                 nowMicros - machine.requestedMicros()
                         < (machine.isInherited() ? 1 : MAX_BOOT_TIMES)
--- a/src/main/java/io/sillreel/placement/MachineBackfill.java
+++ b/src/main/java/io/sillreel/placement/MachineBackfill.java
@@ -106,12 +106,12 @@
     private int startableTasks(QueuedJob queued) {
         ActiveJob job = queued.job();
         if (!cluster.isLaunchable(job, wallMicros)
-                || job.failedMachines().contains(machine.name())
-                || queued.isProbing()) {
+                || job.failures().excludes(machine.name())
+                || queued.isProbing() && machine.responsiveness().ignoredCommandCount() == 0) {
             return 0;
         }
         return Math.min(
-                job.waitingCount(),
+                Math.min(job.waitingCount(), queued.launchableTasks()),
                 Math.min(cluster.quotaHeadroom(job.spec(), usage), cluster.zoneHeadroom(job, machine.zone())));
     }
 }
--- a/src/main/java/io/sillreel/placement/PreemptionCandidates.java
+++ b/src/main/java/io/sillreel/placement/PreemptionCandidates.java
@@ -41,7 +41,7 @@
     }
 
     private void add(Machine machine) {
-        if (!machine.health().isSuspect()) {
+        if (!machine.health().isQuarantined()) {
             machines.put(machine, stoppablePriorityClasses(machine));
         }
         for (Allocation allocation : machine.allocations()) {
--- a/src/main/java/io/sillreel/placement/QueuedJob.java
+++ b/src/main/java/io/sillreel/placement/QueuedJob.java
@@ -43,7 +43,16 @@
      * because the job may fail on every machine.
      */
     boolean isProbing() {
-        return !job.hasCompletedTask() && !job.failedMachines().isEmpty();
+        return !job.hasCompletedTask() && job.failures().areUnexplained();
+    }
+
+    /** Returns how many tasks of the job may be launched in addition to those that the plan has placed. */
+    int launchableTasks() {
+        if (!isProbing()) {
+            return remainingTasks;
+        }
+        boolean isProbed = job.allocatedCount() > 0 || remainingTasks < job.waitingCount();
+        return isProbed ? 0 : Math.min(1, remainingTasks);
     }
 
     /** Returns how many of the job's tasks the plan has not placed yet. */
--- a/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
+++ b/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
@@ -189,7 +189,7 @@
         for (Machine machine : cluster.machines()) {
             if (MachineAvailability.isAvailableSoon(machine, nowMicros)
                     && PlacementConstraints.isEligible(job.spec(), machine)
-                    && !job.failedMachines().contains(machine.name())
+                    && !job.failures().isUnresolved(machine.name())
                     && PlacementConstraints.fitsEmptyMachine(job.spec(), machine.type())) {
                 return true;
             }
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -236,6 +236,34 @@
         assertThat(launches).doesNotContainKey(full.name());
     }
 
+    /** Guards a job that has failed: other machines come first, and if there is none, its failure is repeated. */
+    @Test
+    void triesFailedJobOnTheSameMachineOnlyIfThereIsNoOther() {
+        ActiveJob job = job("t", PriorityClass.NORMAL, 3, 1, 0, false);
+        Machine failed = machine(1);
+        job.failures().add(failed.name(), nowMicros);
+        assertThat(plan().launches()).as("excluded").isEmpty();
+        job.failures().allowRetry(failed.name());
+        assertThat(plan().launches().get(failed.name())).containsExactly(new TaskAssignment(job, 1));
+        Machine other = machine(2);
+        assertThat(plan().launches()).containsOnlyKeys(other.name());
+        job.failures().attributeToJob();
+        assertThat(plan().launches()).containsOnlyKeys(other.name());
+    }
+
+    /** Guards a job that has failed, whose only machine has ignored a command: each waited for the other's probe. */
+    @Test
+    void probesMachineThatIgnoredCommandWithJobThatHasFailed() {
+        ActiveJob job = job("t", PriorityClass.NORMAL, 3, 1, 0, false);
+        Machine machine = machine(1);
+        job.failures().add("host-000002", nowMicros);
+        machine.responsiveness().recordCommandIgnored(nowMicros);
+        PlacementPlan plan = plan();
+        assertThat(plan.launches()).isEmpty();
+        assertThat(planner.backfillMachine(plan, machine, nowMicros, nowMicros))
+                .containsExactly(new TaskAssignment(job, 1));
+    }
+
     /** Guards against the starvation of a large task by small ones that take every CPU as it becomes free. */
     @Test
     void reservesMachineForAgedLargeTask() {
