The suspicion that a job casts on machines ends with the job

Cause: the suspicion was removed only by a later success or failure of the same job. A job that was cancelled, that is done by a stored record, or that left the term has neither.

Change: the review of machines, about once a second, drops suspicions of jobs that are cancelled, complete or unknown.

Evidence: SuspicionTest.cancelledFaultyJobLeavesNoSuspicion failed on the code before (the following job was still queued after 10 s), and passes now.

--- a/src/main/java/io/sillreel/heartbeat/SuspicionReview.java
+++ b/src/main/java/io/sillreel/heartbeat/SuspicionReview.java
@@ -7,7 +7,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Ends the quarantine of suspect machines that has lasted long enough. Guarded by the cluster lock. */
+/**
+ * Ends suspicions that no further failure or success will resolve, because the job has ended or was cancelled, and ends
+ * the quarantine of machines that has lasted long enough. Guarded by the cluster lock.
+ */
 public final class SuspicionReview {
     private static final Logger LOG = LoggerFactory.getLogger(SuspicionReview.class);
 
@@ -28,6 +31,13 @@
 
     private void review(Machine machine, long nowMicros) {
         MachineHealth health = machine.health();
+        for (String uid : health.suspicions()) {
+            ActiveJob job = cluster.job(uid);
+            if (job == null || job.isCancelled() || job.isComplete()) {
+                LOG.info("machine {} is no longer suspected of failing job {}, which has ended", machine.name(), uid);
+                health.clearSuspicion(uid);
+            }
+        }
         if (health.isQuarantineOver(nowMicros)) {
             LOG.info(
                     "machine {} gets tasks again, it is not known whether it or {} failed",
@@ -35,10 +45,7 @@
                     String.join(" and ", health.suspicions()));
             health.startProbation();
             for (String uid : health.suspicions()) {
-                ActiveJob job = cluster.job(uid);
-                if (job != null) {
-                    job.failures().allowRetry(machine.name());
-                }
+                cluster.job(uid).failures().allowRetry(machine.name());
             }
         }
     }
--- a/src/test/java/io/sillreel/heartbeat/SuspicionTest.java
+++ b/src/test/java/io/sillreel/heartbeat/SuspicionTest.java
@@ -18,6 +18,7 @@
 class SuspicionTest {
     private static final String FIRST = SimJobs.uid(1);
     private static final String SECOND = SimJobs.uid(2);
+    private static final String THIRD = SimJobs.uid(3);
 
     /** Starts a cluster that returns no machine because it is idle. */
     private static SimCluster clusterOf(int machines) {
@@ -61,7 +62,22 @@
         assertThat(cluster.violations()).isEmpty();
     }
 
-    /** Guards the only machine of a faulty job: the job costs neither the machine nor the jobs that follow. */
+    /** Guards the machine on which a faulty job has failed: once the job was cancelled, nothing ended the suspicion. */
+    @Test
+    void cancelledFaultyJobLeavesNoSuspicion() {
+        SimCluster cluster = clusterOf(1);
+        startOnlyMachine(cluster);
+        cluster.failTasksOf(SECOND);
+        cluster.submit(0, SimCluster.job(SECOND, 1));
+        runUntilTried(cluster);
+        cluster.cancel(0, SECOND);
+        cluster.submit(0, SimCluster.job(THIRD, 1));
+        cluster.runSeconds(10);
+        assertThat(cluster.stage(0, THIRD)).isEqualTo("done");
+        assertThat(cluster.violations()).isEmpty();
+    }
+
+    /** The same, with a job that is not cancelled: it costs neither the machine nor the jobs that follow. */
     @Test
     void faultyJobCostsItsOnlyMachineNeitherTasksNorReturn() {
         SimCluster cluster = clusterOf(1);
