Jobs without CPUs get machines: by price when there is none, by memory when there are

Without another job to bring a machine it never ran.

Cause: capacity is planned in CPUs, of which the job lacks none. The remedy for jobs that fit on no machine divides the price of an offer by the CPUs that the job can use; divided by 0 the cost was infinite, and no offer was chosen.

Change: the divisor is at least a thousandth of a CPU, so the cheapest machine that the job allows is chosen. Where the effect got through: tasks with less than 0.01 CPUs count by the CPUs whose memory they take (CpuEquivalents), so that large jobs of them get several machines and their machines are not taken for idle; and such a job no longer counts a machine as suitable whose memory others have taken. The number of machines of an offer no longer divides by a type's 0 CPUs. A type that is offered in no zone makes no job acceptable.

--- a/src/main/java/io/sillreel/admission/JobFeasibility.java
+++ b/src/main/java/io/sillreel/admission/JobFeasibility.java
@@ -38,7 +38,7 @@
 
     private static boolean isUsable(MachineType machineType, JobSpec spec) {
         return spec.allowsMachineType(machineType.name())
-                && (spec.zone() == null || machineType.zones().contains(spec.zone()))
+                && machineType.zones().stream().anyMatch(spec::allowsZone)
                 && spec.cpus() <= machineType.cpus()
                 && spec.gpus() <= machineType.gpus()
                 && spec.ramGb() <= machineType.ramGb();
--- a/src/main/java/io/sillreel/placement/CapacityPlanner.java
+++ b/src/main/java/io/sillreel/placement/CapacityPlanner.java
@@ -22,6 +22,7 @@
     private final RuntimeEstimator runtimeEstimator;
     private final MachineOfferSelector offers;
     private final ArrivingDemand arrivingDemand = new ArrivingDemand();
+    private final CpuEquivalents cpuEquivalents = new CpuEquivalents();
     private final DeadlineWorkload workload;
     private final ScaleOutPlanner scaleOut;
     private final ScaleInPlanner scaleIn;
@@ -39,7 +40,8 @@
         this.cluster = cluster;
         this.runtimeEstimator = runtimeEstimator;
         this.offers = new MachineOfferSelector(cluster);
-        this.workload = new DeadlineWorkload(cluster, objectives, runtimeEstimator, arrivingDemand, errors);
+        this.workload =
+                new DeadlineWorkload(cluster, objectives, runtimeEstimator, arrivingDemand, cpuEquivalents, errors);
         this.scaleOut = new ScaleOutPlanner(cluster, arrivingDemand, workload, offers, errors);
         this.scaleIn = new ScaleInPlanner(cluster, arrivingDemand);
     }
@@ -57,7 +59,7 @@
      */
     public void recordArrival(JobSpec spec, long readyWallMicros) {
         long occupancyMicros = Math.min(MAX_STEADY_OCCUPANCY_MICROS, runtimeEstimator.occupancyMicros(spec));
-        double cpuMicros = spec.tasks() * spec.cpus() * occupancyMicros;
+        double cpuMicros = spec.tasks() * cpuEquivalents.ofTask(spec) * occupancyMicros;
         arrivingDemand.recordArrival(spec, readyWallMicros, cpuMicros);
     }
 
@@ -85,6 +87,7 @@
             long pendingOnDemandCpus,
             long nowMicros,
             long wallMicros) {
+        cpuEquivalents.update(types);
         return scaleOut.propose(types, pendingCpus, pendingOnDemandCpus, nowMicros, wallMicros);
     }
 
@@ -98,7 +101,7 @@
         return scaleIn.surplusMachines(neededCpus, idleMicros, nowMicros, wallMicros);
     }
 
-    /** Returns the CPUs that tasks occupy. */
+    /** Returns the CPUs that tasks occupy, by their memory if they take hardly any CPUs. */
     public double busyCpus() {
         return cpusOf(allocation -> true);
     }
@@ -113,7 +116,7 @@
         for (Machine machine : cluster.machines()) {
             for (Allocation allocation : machine.allocations()) {
                 if (!allocation.hasEnded() && allocation.job() != null && filter.test(allocation)) {
-                    cpus += allocation.job().spec().cpus();
+                    cpus += cpuEquivalents.ofTask(allocation.job().spec());
                 }
             }
         }
--- a/src/main/java/io/sillreel/placement/DeadlineWorkload.java
+++ b/src/main/java/io/sillreel/placement/DeadlineWorkload.java
@@ -2,7 +2,6 @@
 
 import io.sillreel.cluster.Cluster;
 import io.sillreel.pipeline.ActiveJob;
-import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.PriorityClass;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -24,6 +23,7 @@
     private final ServiceLevelObjectives objectives;
     private final RuntimeEstimator runtimeEstimator;
     private final ArrivingDemand arrivingDemand;
+    private final CpuEquivalents cpuEquivalents;
     private final PlanningErrors errors;
 
     DeadlineWorkload(
@@ -31,11 +31,13 @@
             ServiceLevelObjectives objectives,
             RuntimeEstimator runtimeEstimator,
             ArrivingDemand arrivingDemand,
+            CpuEquivalents cpuEquivalents,
             PlanningErrors errors) {
         this.cluster = cluster;
         this.objectives = objectives;
         this.runtimeEstimator = runtimeEstimator;
         this.arrivingDemand = arrivingDemand;
+        this.cpuEquivalents = cpuEquivalents;
         this.errors = errors;
     }
 
@@ -104,7 +106,7 @@
     }
 
     private Load load(ActiveJob job, double reservedCpus, long wallMicros, long bootMicros) {
-        JobSpec spec = job.spec();
+        double taskCpus = cpuEquivalents.ofTask(job.spec());
         long taskMicros = runtimeEstimator.occupancyMicros(job);
         double tasks = job.waitingCount() + RUNNING_TASK_REMAINING_FRACTION * job.allocatedCount();
         // Half a task is subtracted: tasks are indivisible, so the time before the deadline can't be used completely.
@@ -113,10 +115,10 @@
             // The job will be late in any case. It should complete soon, but without one machine for each of its tasks.
             remainingMicros = bootMicros > 0 ? bootMicros + LATE_JOB_SEQUENTIAL_TASKS * taskMicros : taskMicros;
         }
-        double parallelCpus = (job.waitingCount() + job.allocatedCount()) * spec.cpus();
+        double parallelCpus = (job.waitingCount() + job.allocatedCount()) * taskCpus;
         return new Load(
                 job.effectivePriority(),
-                tasks * spec.cpus() * taskMicros,
+                tasks * taskCpus * taskMicros,
                 parallelCpus,
                 taskMicros,
                 remainingMicros,
--- a/src/main/java/io/sillreel/placement/MachineOfferSelector.java
+++ b/src/main/java/io/sillreel/placement/MachineOfferSelector.java
@@ -39,6 +39,9 @@
      */
     private static final double CONCENTRATION_WEIGHT = 0.25;
 
+    /** A job that needs fewer CPUs is charged for the whole machine as if it needed this many. */
+    private static final double MIN_USABLE_CPUS = 0.001;
+
     private static final boolean[] SPOT_AND_ON_DEMAND = {true, false};
 
     private final Cluster cluster;
@@ -120,9 +123,8 @@
 
     /** Returns the price per usable CPU, weighted by the concentration of the spot machines. */
     private double cost(MachineType type, String zone, boolean isSpot, double missingCpus) {
-        return type.priceOf(isSpot)
-                / Math.min(type.cpus(), missingCpus)
-                * (1 + CONCENTRATION_WEIGHT * spotShare(zone, isSpot));
+        double usableCpus = Math.max(MIN_USABLE_CPUS, Math.min(type.cpus(), missingCpus));
+        return type.priceOf(isSpot) / usableCpus * (1 + CONCENTRATION_WEIGHT * spotShare(zone, isSpot));
     }
 
     /** Returns the fraction of the spot fleet that is in the zone; 0 for on-demand machines. */
@@ -131,7 +133,9 @@
     }
 
     private static int machineCount(MachineType type, double missingCpus) {
-        int count = (int) Math.max(1, Math.floor(missingCpus / type.cpus()));
-        return Math.min(count, CloudClient.MAX_MACHINES_PER_REQUEST);
+        if (missingCpus <= type.cpus() || type.cpus() <= 0) {
+            return 1;
+        }
+        return (int) Math.min(CloudClient.MAX_MACHINES_PER_REQUEST, Math.floor(missingCpus / type.cpus()));
     }
 }
--- a/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
+++ b/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
@@ -185,12 +185,18 @@
         }
     }
 
+    /**
+     * Returns true if the job can wait for an available machine. What a job without CPUs waits for may never become
+     * free, and is not missing capacity in CPUs either, so it has to fit beside the other tasks.
+     */
     private boolean hasSuitableMachine(ActiveJob job, long nowMicros) {
+        boolean needsRoom = CpuEquivalents.isNegligible(job.spec());
         for (Machine machine : cluster.machines()) {
             if (MachineAvailability.isAvailableSoon(machine, nowMicros)
                     && PlacementConstraints.isEligible(job.spec(), machine)
                     && !job.failures().isUnresolved(machine.name())
-                    && PlacementConstraints.fitsEmptyMachine(job.spec(), machine.type())) {
+                    && PlacementConstraints.fitsEmptyMachine(job.spec(), machine.type())
+                    && (!needsRoom || machine.fittingTasks(job.spec()) > 0)) {
                 return true;
             }
         }
