No task is launched on a machine that refuses it by a rounding tolerance

What callers would see: a job waits beside a machine that fits, while its task is launched on a full one again and again.

Cause: the number of tasks that fit was rounded with a tolerance of a millionth of a task: three tasks of 1.3333334 CPUs "fitted" on 4, and tasks of 5e-17 CPUs fitted into the rounding error of a full machine. The worker refuses such a task (no_room), it is free at once, and the fullest machine is chosen again.

Change: the tolerance is 1e-9 of a task, and less than 1e-9 free counts as nothing.

--- a/src/main/java/io/sillreel/cluster/PlacementConstraints.java
+++ b/src/main/java/io/sillreel/cluster/PlacementConstraints.java
@@ -5,8 +5,13 @@
 
 /** Determines which machines a job allows, and how many of its tasks fit into given resources. */
 public final class PlacementConstraints {
-    /** Tolerance for rounding errors in sums of task resources, as a fraction of a task. */
-    private static final double EPSILON = 1e-6;
+    /**
+     * Tolerance for rounding errors in sums of task resources, as a fraction of a task. Machines refuse tasks that
+     * exceed their resources by more.
+     */
+    private static final double EPSILON = 1e-9;
+    /** Less than this is free only by a rounding error. */
+    private static final double MIN_FREE = 1e-9;
 
     private PlacementConstraints() {}
 
@@ -33,6 +38,9 @@
     }
 
     private static int fittingTasks(double free, double perTask) {
-        return perTask <= 0 ? Integer.MAX_VALUE : (int) Math.max(0, Math.floor(free / perTask + EPSILON));
+        if (perTask <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        return free < MIN_FREE ? 0 : (int) Math.floor(free / perTask + EPSILON);
     }
 }
