Machines are reserved and emptied only where the job may start

What callers would see: machines of other zones stay empty, or their tasks are stopped again and again, while a job that is bound to the zone of its running tasks, or must be spread, waits for room in another one.

Cause: reservations for aged jobs and preemptions asked for type, named zone and kind, not for the zone limits that follow from the job's live tasks. The reservation was renewed with each plan as long as the job waited.

Change: both ask for the zone limits; preemptions also leave out machines from which the job is excluded.

Evidence: PlannerTest.reservesNoMachineInZoneThatJobMayNotUse and preemptsNoTaskInZoneThatJobMayNotUse failed before and pass now.

--- a/src/main/java/io/sillreel/placement/MachineReservations.java
+++ b/src/main/java/io/sillreel/placement/MachineReservations.java
@@ -40,6 +40,7 @@
             cluster.countSteps(1);
             if (PlacementConstraints.isEligible(spec, machine)
                     && !queued.job().failures().excludes(machine.name())
+                    && cluster.zoneHeadroom(queued.job(), machine.zone()) > 0
                     && !plan.reservations().containsKey(machine.name())
                     && PlacementConstraints.fitsEmptyMachine(spec, machine.type())) {
                 plan.reservations().put(machine.name(), queued);
--- a/src/main/java/io/sillreel/placement/Preemption.java
+++ b/src/main/java/io/sillreel/placement/Preemption.java
@@ -61,7 +61,7 @@
         if (neededTasks <= 0) {
             return true;
         }
-        List<Machine> machines = candidates.eligibleMachines(job.spec());
+        List<Machine> machines = candidates.eligibleMachines(job);
         if (grounds.mayPreemptLowerPriority()) {
             neededTasks -= preemptLowerPriority(job, grounds.hasHighPriority(), neededTasks, machines);
         }
--- a/src/main/java/io/sillreel/placement/PreemptionCandidates.java
+++ b/src/main/java/io/sillreel/placement/PreemptionCandidates.java
@@ -5,11 +5,13 @@
 import io.sillreel.cluster.ImageCache.Image;
 import io.sillreel.cluster.Machine;
 import io.sillreel.cluster.PlacementConstraints;
+import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.JobSpec;
 import io.sillreel.pipeline.PriorityClass;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,12 +74,17 @@
     }
 
     /** Returns eligible machines for the job that have stoppable tasks, those with its image first. */
-    List<Machine> eligibleMachines(JobSpec spec) {
+    List<Machine> eligibleMachines(ActiveJob job) {
+        JobSpec spec = job.spec();
+        Map<String, Integer> zoneHeadroom = new HashMap<>();
         Image image = Image.of(spec);
         List<Machine> eligible = new ArrayList<>();
         List<Machine> withoutImage = new ArrayList<>();
         machines.forEach((machine, priorityClasses) -> {
-            if (!priorityClasses.isEmpty() && PlacementConstraints.isEligible(spec, machine)) {
+            if (!priorityClasses.isEmpty()
+                    && PlacementConstraints.isEligible(spec, machine)
+                    && !job.failures().excludes(machine.name())
+                    && zoneHeadroom.computeIfAbsent(machine.zone(), zone -> cluster.zoneHeadroom(job, zone)) > 0) {
                 (machine.hasImage(image) ? eligible : withoutImage).add(machine);
             }
         });
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -52,24 +52,28 @@
     }
 
     private Machine machine(int number, boolean isSpot) {
+        return machine(number, isSpot, "a");
+    }
+
+    private Machine machine(int number, boolean isSpot, String zone) {
         String name = "host-%06d".formatted(number);
         var value = Json.object()
                 .put("build", "c4")
-                .put("yard", "a")
+                .put("yard", zone)
                 .put("spot", isSpot)
                 .put("count", 1);
         value.putArray("machines").add(name);
         Machine machine = new Machine(
                 name,
                 TYPE,
-                "a",
+                zone,
                 isSpot,
                 ScaleOutRequestCodec.decode("hire/" + name, value, 1),
                 nowMicros,
                 cluster.allocationIndex());
         cluster.add(machine);
         machine.acceptHeartbeat(
-                new Heartbeat(name, name + ":1", new MachineDescription("c4", "a", isSpot), 1, 1, 1, -1, List.of()),
+                new Heartbeat(name, name + ":1", new MachineDescription("c4", zone, isSpot), 1, 1, 1, -1, List.of()),
                 false,
                 nowMicros);
         machine.markReconciled();
@@ -236,6 +240,33 @@
         assertThat(launches).doesNotContainKey(full.name());
     }
 
+    /**
+     * Guards the other zones of a job that is bound to the zone of its running tasks: machines there stayed reserved.
+     */
+    @Test
+    void reservesNoMachineInZoneThatJobMayNotUse() {
+        ActiveJob job = jobInOneZone(PriorityClass.NORMAL, 400 * SECOND);
+        startTasks(job, machine(1, true, "a"), 4);
+        Machine elsewhere = machine(2, true, "b");
+        assertThat(plan().reservations()).doesNotContainKey(elsewhere.name());
+        ActiveJob other = job("free", PriorityClass.BEST_EFFORT, 4, 1, 0, false);
+        assertThat(plan().launches().get(elsewhere.name())).containsExactly(new TaskAssignment(other, 4));
+    }
+
+    /** Guards the tasks in other zones: they were stopped, again and again, for a job that may not start there. */
+    @Test
+    void preemptsNoTaskInZoneThatJobMayNotUse() {
+        ActiveJob job = jobInOneZone(PriorityClass.HIGH, 0);
+        startTasks(job, machine(1, true, "a"), 4);
+        startTasks(job("free", PriorityClass.BEST_EFFORT, 4, 1, 0, false), machine(2, true, "b"), 4);
+        assertThat(plan().preemptions()).isEmpty();
+    }
+
+    private ActiveJob jobInOneZone(PriorityClass priorityClass, long ageMicros) {
+        TaskSpec task = new TaskSpec(1, 0, 1, "img", 1, 20 * SECOND, new Checkpointing(0, 0));
+        return job("t", priorityClass, 8, ageMicros, task, new PlacementRequirements(null, null, true, false, true));
+    }
+
     /** Guards a job that has failed: other machines come first, and if there is none, its failure is repeated. */
     @Test
     void triesFailedJobOnTheSameMachineOnlyIfThereIsNoOther() {
