A mistaken estimate costs no machine and changes nothing for other jobs of its class

What callers would see: jobs with "guess_s" of 0 or nearly 0 cost the machines that they run on, and an estimate that is wrong by orders of magnitude changes what is expected of all jobs of the class.

Cause: an estimate of less than a second counted as one second. Two such jobs on one machine took more than 2.5 times as long, so the machine was drained as slow. Each task moved the average of its class by up to a tenth.

Change: estimates below one second are no evidence on a machine. Measured run times that differ from the estimate by more than a factor of 20 don't enter the average of the class.

--- a/src/main/java/io/sillreel/fleet/StragglerDetector.java
+++ b/src/main/java/io/sillreel/fleet/StragglerDetector.java
@@ -56,6 +56,9 @@
         if (allocation.job() == null || allocation.hasEnded() || allocation.runningSinceMicros() < 0) {
             return false;
         }
+        if (!RuntimeEstimator.hasEstimate(allocation.job().spec())) {
+            return false;
+        }
         double expectedMicros =
                 runtimeEstimator.expectedRuntimeMicros(allocation.job().spec());
         return nowMicros - allocation.runningSinceMicros() > MachineHealth.SLOW_RATIO * expectedMicros;
--- a/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
+++ b/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
@@ -73,9 +73,10 @@
     private void handleCompletion(Machine machine, ActiveJob job, Allocation allocation, long nowMicros) {
         if (allocation.runningSinceMicros() >= 0) {
             long runtimeMicros = nowMicros - allocation.runningSinceMicros();
-            machine.health()
-                    .recordRuntimeRatio(
-                            (double) runtimeMicros / runtimeEstimator.expectedRuntimeMicros(job.spec()), job.uid());
+            if (RuntimeEstimator.hasEstimate(job.spec())) {
+                double ratio = (double) runtimeMicros / runtimeEstimator.expectedRuntimeMicros(job.spec());
+                machine.health().recordRuntimeRatio(ratio, job.uid());
+            }
             runtimeEstimator.recordRuntime(job, runtimeMicros);
         }
         recordSoundness(machine, job, allocation);
--- a/src/main/java/io/sillreel/placement/RuntimeEstimator.java
+++ b/src/main/java/io/sillreel/placement/RuntimeEstimator.java
@@ -21,6 +21,8 @@
 
     private static final double MAX_RUNTIME_RATIO = 4;
     private static final long MIN_RUNTIME_MICROS = 1_000_000;
+    /** An estimate that is wrong by more than this factor is a mistake, and says nothing about other jobs. */
+    private static final double MAX_PLAUSIBLE_ERROR = 20;
     /** Longer estimates count as this long (30 days), so that sums of them do not overflow. */
     private static final long MAX_RUNTIME_MICROS = 30L * 24 * 3_600 * 1_000_000;
     /** Longer estimated image pulls count as this long (one day). */
@@ -54,9 +56,9 @@
     public synchronized void recordRuntime(ActiveJob job, long runtimeMicros) {
         JobSpec spec = job.spec();
         job.runtimes().add(runtimeMicros);
-        if (spec.estimatedMicros() > 0) {
-            double ratio = Math.max(
-                    MIN_RUNTIME_RATIO, Math.min(MAX_RUNTIME_RATIO, (double) runtimeMicros / spec.estimatedMicros()));
+        double measuredRatio = (double) runtimeMicros / Math.max(1, spec.estimatedMicros());
+        if (measuredRatio <= MAX_PLAUSIBLE_ERROR && measuredRatio >= 1 / MAX_PLAUSIBLE_ERROR) {
+            double ratio = Math.max(MIN_RUNTIME_RATIO, Math.min(MAX_RUNTIME_RATIO, measuredRatio));
             runtimeRatios.merge(spec.jobClass(), ratio, RuntimeEstimator::movingAverage);
         }
         TaskRuntimes runtimes = job.runtimes();
@@ -67,6 +69,11 @@
         }
     }
 
+    /** True if the estimate of the job is long enough to tell a slow machine from a mistaken estimate. */
+    public static boolean hasEstimate(JobSpec spec) {
+        return spec.estimatedMicros() >= MIN_RUNTIME_MICROS;
+    }
+
     private static Double movingAverage(Double average, Double measured) {
         return average + MEASUREMENT_WEIGHT * (measured - average);
     }
--- a/src/test/java/io/sillreel/AcceptedAmountsTest.java
+++ b/src/test/java/io/sillreel/AcceptedAmountsTest.java
@@ -42,6 +42,22 @@
         assertRunsBesideOthers(SimCluster.job(UNUSUAL, 3).put("vcpus", cpus));
     }
 
+    /** Guards sound machines against estimates that are none: tasks of two such jobs made their machine a slow one. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 4.9e-324, 1e-6, 0.5})
+    void tinyEstimatesCostNoMachine(double estimate) {
+        cluster.runSeconds(2);
+        cluster.submit(0, SimCluster.job(UNUSUAL, 1).put("guess_s", estimate));
+        cluster.submit(0, SimCluster.job("job-000002", 1).put("guess_s", estimate));
+        cluster.runUntilStarted(2, 12_000_000);
+        assertThat(cluster.cloud().machines()).hasSize(1);
+        String machine = cluster.cloud().machines().firstKey();
+        cluster.runSeconds(20);
+        assertThat(cluster.stage(0, UNUSUAL)).isEqualTo("done");
+        assertThat(cluster.stage(0, "job-000002")).isEqualTo("done");
+        assertThat(cluster.cloud().machines()).containsKey(machine);
+    }
+
     /** Guards against overflowing sums of estimated times, and against divisions by amounts rounded to zero. */
     @ParameterizedTest
     @CsvSource({
