Tasks that would take more than five minutes to save are stopped without a checkpoint

What callers would see: a job with "stash_s": 1e12 is stopped for another one and keeps its room for ever.

Cause: a task that is stopped got as long as its submission says that it needs to save.

Change: such a task counts as one that saves nothing. What is stored and sent is unchanged.

Evidence: CheckpointingTest failed before for 1e12 s and for 300.000001 s, and passes now.

--- a/src/main/java/io/sillreel/pipeline/JobSpec.java
+++ b/src/main/java/io/sillreel/pipeline/JobSpec.java
@@ -67,9 +67,9 @@
         return task.checkpointing().isSupported();
     }
 
-    /** Time that a task takes to write a checkpoint when it is stopped. */
+    /** Time that a task takes to write a checkpoint when it is stopped; 0 if it writes none. */
     public long checkpointDurationMicros() {
-        return task.checkpointing().durationMicros();
+        return task.checkpointing().gracePeriodMicros();
     }
 
     /** True if tasks may run on machines of the named type. */
