An image that no cache can hold no longer evicts the others from the estimate

What callers would see: tasks wait for an image that a machine has, since it is looked for elsewhere.

Cause: the estimate of a machine's cache dropped all images for one that is larger than the cache ("image_gb": 1e12).

Evidence: ImageCacheTest failed without the check and passes with it.

--- a/src/main/java/io/sillreel/cluster/ImageCache.java
+++ b/src/main/java/io/sillreel/cluster/ImageCache.java
@@ -41,8 +41,14 @@
         this.capacityGb = capacityGb;
     }
 
-    /** Marks the image as the most recently used, and evicts the least recently used beyond the capacity. */
+    /**
+     * Marks the image as the most recently used, and evicts the least recently used beyond the capacity. An image that
+     * exceeds the capacity alone is ignored.
+     */
     void markUsed(Image image) {
+        if (image.gb() > capacityGb) {
+            return;
+        }
         images.remove(image);
         images.add(image);
         Deque<Image> newestFirst = new ArrayDeque<>();
