A job that is known to fail counts its next failures itself, on any machine

What callers would have seen: let such a job raise no suspicion, but excluded it from a machine on which it failed next; the exclusion ends with the suspicion, of which there was none. With no other machine left the job was never tried again (found by reading, before any landing).

TestMachines replaces a copy in PlannerTest.

--- a/src/main/java/io/sillreel/heartbeat/FaultAttribution.java
+++ b/src/main/java/io/sillreel/heartbeat/FaultAttribution.java
@@ -44,18 +44,17 @@
             return Fault.MACHINE;
         }
         failures.add(machine.name(), startedMicros);
-        if (isRepetition || health.isProvenSoundSince(startedMicros)) {
+        // A job that is known to fail raises no suspicion: its next failures are its own.
+        if (isRepetition || job.failedAttempts() > 0 || health.isProvenSoundSince(startedMicros)) {
             return Fault.JOB;
         }
-        if (job.failedAttempts() == 0) {
-            boolean isOnProbation = health.isOnProbation();
-            health.addSuspicion(job.uid(), startedMicros, nowMicros);
-            if (health.suspicions().size() > 1) {
-                if (isOnProbation) {
-                    return Fault.MACHINE;
-                }
-                failures.markMachineSuspect(machine.name());
+        boolean isOnProbation = health.isOnProbation();
+        health.addSuspicion(job.uid(), startedMicros, nowMicros);
+        if (health.suspicions().size() > 1) {
+            if (isOnProbation) {
+                return Fault.MACHINE;
             }
+            failures.markMachineSuspect(machine.name());
         }
         return isJobAtFault(failures) ? Fault.JOB : Fault.UNKNOWN;
     }
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -5,14 +5,10 @@
 import io.sillreel.agent.Heartbeat;
 import io.sillreel.agent.Heartbeat.MachineDescription;
 import io.sillreel.agent.Heartbeat.TaskStage;
-import io.sillreel.cloud.MachineType;
-import io.sillreel.cloud.MachineType.ImageStorage;
-import io.sillreel.cloud.MachineType.Pricing;
 import io.sillreel.cluster.Allocation;
 import io.sillreel.cluster.Cluster;
 import io.sillreel.cluster.Machine;
-import io.sillreel.cluster.ScaleOutRequestCodec;
-import io.sillreel.http.Json;
+import io.sillreel.cluster.TestMachines;
 import io.sillreel.pipeline.ActiveJob;
 import io.sillreel.pipeline.Checkpointing;
 import io.sillreel.pipeline.JobSpec;
@@ -30,9 +26,6 @@
 
 class PlannerTest {
     private static final long SECOND = 1_000_000;
-    private static final MachineType TYPE =
-            new MachineType("c4", 4, 0, 16, new ImageStorage(50, 1), new Pricing(1, 0.5), 4 * SECOND, List.of("a"));
-
     private static final PlacementRequirements ANYWHERE = new PlacementRequirements(null, null, false, false, true);
     private static final TaskSpec TASK_WITHOUT_CPUS =
             new TaskSpec(0, 0, 0.01, "img", 1, 20 * SECOND, new Checkpointing(0, 0));
@@ -56,28 +49,7 @@
     }
 
     private Machine machine(int number, boolean isSpot, String zone) {
-        String name = "host-%06d".formatted(number);
-        var value = Json.object()
-                .put("build", "c4")
-                .put("yard", zone)
-                .put("spot", isSpot)
-                .put("count", 1);
-        value.putArray("machines").add(name);
-        Machine machine = new Machine(
-                name,
-                TYPE,
-                zone,
-                isSpot,
-                ScaleOutRequestCodec.decode("hire/" + name, value, 1),
-                nowMicros,
-                cluster.allocationIndex());
-        cluster.add(machine);
-        machine.acceptHeartbeat(
-                new Heartbeat(name, name + ":1", new MachineDescription("c4", zone, isSpot), 1, 1, 1, -1, List.of()),
-                false,
-                nowMicros);
-        machine.markReconciled();
-        return machine;
+        return TestMachines.addUpMachine(cluster, "host-%06d".formatted(number), zone, isSpot, nowMicros);
     }
 
     private ActiveJob job(
