--- a/src/main/java/io/sillreel/leadership/SchedulingCycle.java
+++ b/src/main/java/io/sillreel/leadership/SchedulingCycle.java
@@ -108,7 +108,7 @@
         heartbeatProcessor.usePlan(plan);
         for (Allocation allocation : plan.preemptions()) {
             LOG.debug("preempting task {}/{}", allocation.uid(), allocation.taskIndex());
-            allocation.stop(allocation.job().spec().checkpointDurationMicros() + COMMAND_DELIVERY_ALLOWANCE_MICROS);
+            allocation.stop(allocation.job().spec().checkpointGracePeriodMicros() + COMMAND_DELIVERY_ALLOWANCE_MICROS);
             requests.requestCommands(allocation.machine());
         }
         lastPlanDurationMicros = eventLoop.nowMicros() - now;
--- a/src/main/java/io/sillreel/pipeline/JobSpec.java
+++ b/src/main/java/io/sillreel/pipeline/JobSpec.java
@@ -67,8 +67,13 @@
         return task.checkpointing().isSupported();
     }
 
-    /** Time that a task takes to write a checkpoint when it is stopped; 0 if it writes none. */
+    /** Time that a task takes to write a checkpoint when it is stopped. */
     public long checkpointDurationMicros() {
+        return task.checkpointing().durationMicros();
+    }
+
+    /** How long a task may take to write a checkpoint when it is stopped; 0 if it writes none. */
+    public long checkpointGracePeriodMicros() {
         return task.checkpointing().gracePeriodMicros();
     }
 
