--- a/src/main/java/io/sillreel/leadership/LeaderStatus.java
+++ b/src/main/java/io/sillreel/leadership/LeaderStatus.java
@@ -77,6 +77,9 @@
             gauges.put("sillreel.machines.ordinary", (double) cluster.machines().stream()
                     .filter(machine -> !machine.isSpot())
                     .count());
+            gauges.put("sillreel.machines.quarantined", (double) cluster.machines().stream()
+                    .filter(machine -> machine.health().isQuarantined())
+                    .count());
             gauges.put("sillreel.cpus.up", cpus);
             gauges.put("sillreel.cpus.busy", capacity.busyCpus());
             gauges.put("sillreel.cpus.starting", capacity.startingCpus());
