An error in handling the end of one task leaves the rest of the heartbeat unaffected

It is logged with the task, which is launched again; before, the whole heartbeat was answered with 503, again and again, until the machine's lease expired.

--- a/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
+++ b/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
@@ -46,10 +46,18 @@
         this.runtimeEstimator = runtimeEstimator;
     }
 
-    /** Handles the end of a task whose job is known, and releases its allocation. */
+    /**
+     * Handles the end of a task whose job is known, and releases its allocation. After an unexpected error the task is
+     * launched again, and the other tasks in the heartbeat are handled as usual.
+     */
     void handleEnd(Machine machine, Allocation allocation, String cause, long nowMicros) {
-        ActiveJob job = allocation.job();
         allocation.release();
+        String work = "the end of task " + allocation.uid() + "/" + allocation.taskIndex();
+        eventLoop.unexpectedErrors().runConfined(work, () -> handleReleased(machine, allocation, cause, nowMicros));
+    }
+
+    private void handleReleased(Machine machine, Allocation allocation, String cause, long nowMicros) {
+        ActiveJob job = allocation.job();
         switch (cause) {
             case "done" -> handleCompletion(machine, job, allocation, nowMicros);
             case "error" -> handleFailure(machine, job, allocation, nowMicros);
