Quotas: the rounding tolerance is that of decimal amounts

Amounts up to 1e-9 CPUs above a thousandth were rounded down, which 100,000 tasks may add up to a tenth of a thousandth beyond a quota. The tolerance is now 1e-12 CPUs, more than the error of amounts such as 0.3. From reading; TeamQuotaTest passes as before.

--- a/src/main/java/io/sillreel/cluster/QuotaUsage.java
+++ b/src/main/java/io/sillreel/cluster/QuotaUsage.java
@@ -11,7 +11,7 @@
 public final class QuotaUsage {
     private static final long MILLI = 1_000;
     /** Tolerance for the rounding errors of decimal amounts. */
-    private static final double ROUNDING_TOLERANCE_MILLI = 1e-6;
+    private static final double ROUNDING_TOLERANCE_MILLI = 1e-9;
     /** Larger amounts count as this much, so that the sum over the tasks of many jobs does not overflow. */
     private static final double MAX_MILLI = 1e12;
 
