A job of which tasks were done costs no more than one machine without further evidence

What callers would see: one task of a job fails everywhere while the others were done; each machine on which it is tried is drained at once, one after the other.

Cause: once a task of a job was done, each of its failures was taken for the machine's.

Change: that holds for the first such failure. Until a further task of the job is done, the next ones are attributed like those of other jobs, so that the machine is in quarantine and a second one shows that the job fails.

Evidence: FaultAttributionTest.jobWithDoneTasksCostsNoMoreThanOneMachine; before, each of its failures was MACHINE.

--- a/src/main/java/io/sillreel/heartbeat/FaultAttribution.java
+++ b/src/main/java/io/sillreel/heartbeat/FaultAttribution.java
@@ -40,12 +40,15 @@
             return Fault.COUNTED;
         }
         boolean isRepetition = failures.isRepetition(machine.name());
-        if (!isRepetition && job.hasCompletedTask() && !health.isProvenSoundSince(startedMicros)) {
+        boolean isProvenSound = health.isProvenSoundSince(startedMicros);
+        // Tasks of the job were done, so it is not at fault, unless it goes on failing on other machines.
+        if (job.hasCompletedTask() && !isRepetition && !isProvenSound && !failures.isMachineBlamed()) {
+            failures.recordMachineBlamed();
             return Fault.MACHINE;
         }
         failures.add(machine.name(), startedMicros);
         // A job that is known to fail raises no suspicion: its next failures are its own.
-        if (isRepetition || job.failedAttempts() > 0 || health.isProvenSoundSince(startedMicros)) {
+        if (isRepetition || isProvenSound || job.failedAttempts() > 0) {
             return Fault.JOB;
         }
         boolean isOnProbation = health.isOnProbation();
--- a/src/main/java/io/sillreel/pipeline/JobFailures.java
+++ b/src/main/java/io/sillreel/pipeline/JobFailures.java
@@ -30,6 +30,8 @@
     /** Start of the first failed task by machine, in microseconds of the event loop. */
     private final Map<String, Long> firstStartMicros = new HashMap<>();
 
+    private boolean isMachineBlamed;
+
     /**
      * Records the failure of a task on a machine.
      *
@@ -57,11 +59,22 @@
         firstStartMicros.remove(machine);
     }
 
+    /** Records that a machine is considered faulty on account of this job alone. */
+    public void recordMachineBlamed() {
+        isMachineBlamed = true;
+    }
+
+    /** True if a machine is considered faulty on account of this job alone, since a task of the job was done. */
+    public boolean isMachineBlamed() {
+        return isMachineBlamed;
+    }
+
     /** Forgets all failures, since a task of the job was done. */
     void clear() {
         unresolved.clear();
         attributed.clear();
         firstStartMicros.clear();
+        isMachineBlamed = false;
     }
 
     /** Attributes all failures that are not attributed yet to the job. */
--- a/src/test/java/io/sillreel/heartbeat/FaultAttributionTest.java
+++ b/src/test/java/io/sillreel/heartbeat/FaultAttributionTest.java
@@ -88,6 +88,20 @@
                 .isEqualTo(Fault.JOB);
     }
 
+    /** Guards sound machines against a task that fails everywhere, while the other tasks of its job were done. */
+    @Test
+    void jobWithDoneTasksCostsNoMoreThanOneMachine() {
+        ActiveJob job = job(1);
+        job.markTaskDone(0);
+        assertThat(fail(job, one, 3)).isEqualTo(Fault.MACHINE);
+        assertThat(fail(job, two, 3)).isEqualTo(Fault.UNKNOWN);
+        assertThat(fail(job, machine("host-000003"), 3)).isEqualTo(Fault.JOB);
+        job.markTaskDone(1);
+        assertThat(fail(job, machine("host-000004"), 3))
+                .as("a further task was done")
+                .isEqualTo(Fault.MACHINE);
+    }
+
     /** Guards a job that is known to fail against an exclusion from a machine that nothing would end. */
     @Test
     void failureOfJobKnownToFailIsItsOwnOnEveryMachine() {
