A machine that has refused a task is the last choice for its job

What callers would see: a job waits beside a machine with room while its task is launched on another one that refuses it.

Cause: after no_room the task waits again, and the same machine is the fullest one that fits by the leader's sums.

Change: the job prefers other machines until one of its tasks is done.

Evidence: PlannerTest.prefersMachineThatHasNotRefusedTheJob; before, the first machine was chosen again.

--- a/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
+++ b/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
@@ -61,13 +61,11 @@
         switch (cause) {
             case "done" -> handleCompletion(machine, job, allocation, nowMicros);
             case "error" -> handleFailure(machine, job, allocation, nowMicros);
-            case "no_room", "busy", "no_such" ->
-                LOG.info(
-                        "machine {} rejected task {}/{}: {}",
-                        machine.name(),
-                        allocation.uid(),
-                        allocation.taskIndex(),
-                        cause);
+            case "no_room" -> {
+                job.failures().addRefusal(machine.name());
+                logRejection(machine, allocation, cause);
+            }
+            case "busy", "no_such" -> logRejection(machine, allocation, cause);
             default ->
                 LOG.debug(
                         "task {}/{} ended on machine {}: {}",
@@ -78,6 +76,10 @@
         }
     }
 
+    private static void logRejection(Machine machine, Allocation allocation, String cause) {
+        LOG.info("machine {} rejected task {}/{}: {}", machine.name(), allocation.uid(), allocation.taskIndex(), cause);
+    }
+
     private void handleCompletion(Machine machine, ActiveJob job, Allocation allocation, long nowMicros) {
         if (allocation.runningSinceMicros() >= 0) {
             long runtimeMicros = nowMicros - allocation.runningSinceMicros();
--- a/src/main/java/io/sillreel/pipeline/JobFailures.java
+++ b/src/main/java/io/sillreel/pipeline/JobFailures.java
@@ -27,6 +27,8 @@
     private final Map<String, Status> unresolved = new LinkedHashMap<>();
     /** Machines on which failures were attributed to the job. */
     private final Set<String> attributed = new HashSet<>();
+    /** Machines that have refused a task although they seemed to have room. */
+    private final Set<String> refusing = new HashSet<>();
     /** Start of the first failed task by machine, in microseconds of the event loop. */
     private final Map<String, Long> firstStartMicros = new HashMap<>();
 
@@ -59,6 +61,11 @@
         firstStartMicros.remove(machine);
     }
 
+    /** Records that the machine has refused a task, so that others are preferred. */
+    public void addRefusal(String machine) {
+        refusing.add(machine);
+    }
+
     /** Records that a machine is considered faulty on account of this job alone. */
     public void recordMachineBlamed() {
         isMachineBlamed = true;
@@ -73,6 +80,7 @@
     void clear() {
         unresolved.clear();
         attributed.clear();
+        refusing.clear();
         firstStartMicros.clear();
         isMachineBlamed = false;
     }
@@ -94,14 +102,14 @@
         return status == Status.UNEXPLAINED || status == Status.MACHINE_SUSPECT;
     }
 
-    /** True if the job has failed on the machine, so that others are preferred, whoever is at fault. */
-    public boolean includes(String machine) {
-        return unresolved.containsKey(machine) || attributed.contains(machine);
+    /** True if other machines are preferred: the job has failed on this one, whoever is at fault, or was refused. */
+    public boolean avoids(String machine) {
+        return unresolved.containsKey(machine) || attributed.contains(machine) || refusing.contains(machine);
     }
 
-    /** True if a machine on which the job has failed is not excluded. */
+    /** True if a machine that the job avoids is not excluded. */
     public boolean mayBeRepeated() {
-        return unresolved.containsValue(Status.RETRIABLE) || !attributed.isEmpty();
+        return unresolved.containsValue(Status.RETRIABLE) || !attributed.isEmpty() || !refusing.isEmpty();
     }
 
     /** True if the failures on the machine are not attributed yet. */
--- a/src/main/java/io/sillreel/placement/JobPlacer.java
+++ b/src/main/java/io/sillreel/placement/JobPlacer.java
@@ -51,7 +51,7 @@
         private final JobSpec spec;
         private final Map<String, Integer> zoneHeadroom = new HashMap<>();
         private int wantedTasks;
-        /** True if machines on which the job has failed may be used, unless they are excluded. */
+        /** True if machines that the job avoids may be used, unless they are excluded. */
         private boolean isRepetitionAllowed;
         /** Zone of the tasks placed so far; with zone affinity the remaining tasks have to use it too. */
         private String zoneOfTasks;
@@ -68,7 +68,7 @@
 
         private boolean mayUse(String machine) {
             JobFailures failures = queued.job().failures();
-            return isRepetitionAllowed ? !failures.excludes(machine) : !failures.includes(machine);
+            return isRepetitionAllowed ? !failures.excludes(machine) : !failures.avoids(machine);
         }
 
         @Override
--- a/src/test/java/io/sillreel/placement/PlannerTest.java
+++ b/src/test/java/io/sillreel/placement/PlannerTest.java
@@ -254,6 +254,17 @@
         assertThat(plan().launches()).containsOnlyKeys(other.name());
     }
 
+    /** Guards a job that a machine has refused: its task was launched there again and again, beside a free machine. */
+    @Test
+    void prefersMachineThatHasNotRefusedTheJob() {
+        ActiveJob job = job("t", PriorityClass.NORMAL, 1, 1, 0, false);
+        Machine refusing = machine(1);
+        job.failures().addRefusal(refusing.name());
+        assertThat(plan().launches()).containsOnlyKeys(refusing.name());
+        Machine other = machine(2);
+        assertThat(plan().launches()).containsOnlyKeys(other.name());
+    }
+
     /** Guards a job that has failed, whose only machine has ignored a command: each waited for the other's probe. */
     @Test
     void probesMachineThatIgnoredCommandWithJobThatHasFailed() {
