Paths that the training run does not take create no lambdas

Cause: a lambda that is not in the class archive is linked when it is first run, which costs a tiny process milliseconds of its twentieth of a core. Filling a machine, preemption and the handling of failures had become such places.

Change: loops and one try block in their place; zones are looked up only for jobs that are bound to them.

The tests that play them pass.

--- a/src/main/java/io/sillreel/cluster/MachineHealth.java
+++ b/src/main/java/io/sillreel/cluster/MachineHealth.java
@@ -52,9 +52,14 @@
 
     /** True if the quarantine has to end, whether or not the fault has been attributed. */
     public boolean isQuarantineOver(long nowMicros) {
-        return isQuarantined()
-                && suspicions.values().stream()
-                        .anyMatch(suspicion -> nowMicros - suspicion.reportedMicros() >= QUARANTINE_MICROS);
+        if (!isQuarantined()) {
+            return false;
+        }
+        long earliestMicros = nowMicros;
+        for (Suspicion suspicion : suspicions.values()) {
+            earliestMicros = Math.min(earliestMicros, suspicion.reportedMicros());
+        }
+        return nowMicros - earliestMicros >= QUARANTINE_MICROS;
     }
 
     /** Ends the quarantine. The next failure of another job shows that the machine is faulty. */
--- a/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
+++ b/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
@@ -203,6 +203,11 @@
     }
 
     private static boolean hasLiveTasksOfOthers(Machine machine, ActiveJob job) {
-        return machine.allocations().stream().anyMatch(allocation -> !allocation.hasEnded() && allocation.job() != job);
+        for (Allocation allocation : machine.allocations()) {
+            if (!allocation.hasEnded() && allocation.job() != job) {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/src/main/java/io/sillreel/pipeline/JobFailures.java
+++ b/src/main/java/io/sillreel/pipeline/JobFailures.java
@@ -139,9 +139,11 @@
 
     /** Returns the number of these machines on which no other job has failed. */
     public int unexplainedCount() {
-        return (int) unresolved.values().stream()
-                .filter(status -> status != Status.MACHINE_SUSPECT)
-                .count();
+        int count = 0;
+        for (Status status : unresolved.values()) {
+            count += status == Status.MACHINE_SUSPECT ? 0 : 1;
+        }
+        return count;
     }
 
     /** Returns the names of the machines with failures that are not attributed yet. */
--- a/src/main/java/io/sillreel/placement/MachineBackfill.java
+++ b/src/main/java/io/sillreel/placement/MachineBackfill.java
@@ -66,11 +66,19 @@
         for (QueuedJob queued : band) {
             examinedJobs++;
             if (!queued.job().isPlanningSuspended(wallMicros)) {
-                errors.confine(queued.job(), wallMicros, () -> assignInPass(queued, isFirstPass));
+                assignConfined(queued, isFirstPass);
             }
         }
     }
 
+    private void assignConfined(QueuedJob queued, boolean isFirstPass) {
+        try {
+            assignInPass(queued, isFirstPass);
+        } catch (RuntimeException | StackOverflowError e) {
+            errors.record(queued.job(), wallMicros, e);
+        }
+    }
+
     private void assignInPass(QueuedJob queued, boolean isFirstPass) {
         boolean isPreferred =
                 queued.isUrgent() || capacity.hasImage(queued.job().spec());
--- a/src/main/java/io/sillreel/placement/PlanningErrors.java
+++ b/src/main/java/io/sillreel/placement/PlanningErrors.java
@@ -28,9 +28,14 @@
             step.run();
             return true;
         } catch (RuntimeException | StackOverflowError e) {
-            job.suspendPlanning(wallMicros + RETRY_DELAY_MICROS);
-            reporter.accept("the planning of job " + job.uid(), e);
+            record(job, wallMicros, e);
             return false;
         }
     }
+
+    /** Reports an error that a step of planning the job has ended with, and leaves the job out of plans for a while. */
+    void record(ActiveJob job, long wallMicros, Throwable error) {
+        job.suspendPlanning(wallMicros + RETRY_DELAY_MICROS);
+        reporter.accept("the planning of job " + job.uid(), error);
+    }
 }
--- a/src/main/java/io/sillreel/placement/PreemptionCandidates.java
+++ b/src/main/java/io/sillreel/placement/PreemptionCandidates.java
@@ -11,7 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumSet;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -76,7 +76,8 @@
     /** Returns eligible machines for the job that have stoppable tasks, those with its image first. */
     List<Machine> eligibleMachines(ActiveJob job) {
         JobSpec spec = job.spec();
-        Map<String, Integer> zoneHeadroom = new HashMap<>();
+        boolean isZoneLimited = spec.zoneAffinity() || spec.zoneAntiAffinity();
+        Set<String> zonesWithHeadroom = isZoneLimited ? zonesWithHeadroom(job) : Set.of();
         Image image = Image.of(spec);
         List<Machine> eligible = new ArrayList<>();
         List<Machine> withoutImage = new ArrayList<>();
@@ -84,7 +85,7 @@
             if (!priorityClasses.isEmpty()
                     && PlacementConstraints.isEligible(spec, machine)
                     && !job.failures().excludes(machine.name())
-                    && zoneHeadroom.computeIfAbsent(machine.zone(), zone -> cluster.zoneHeadroom(job, zone)) > 0) {
+                    && (!isZoneLimited || zonesWithHeadroom.contains(machine.zone()))) {
                 (machine.hasImage(image) ? eligible : withoutImage).add(machine);
             }
         });
@@ -93,6 +94,21 @@
         return eligible;
     }
 
+    /** Returns the zones in which more tasks of the job may start. */
+    private Set<String> zonesWithHeadroom(ActiveJob job) {
+        Set<String> zones = new HashSet<>();
+        for (Machine machine : machines.keySet()) {
+            zones.add(machine.zone());
+        }
+        Set<String> withHeadroom = new HashSet<>();
+        for (String zone : zones) {
+            if (cluster.zoneHeadroom(job, zone) > 0) {
+                withHeadroom.add(zone);
+            }
+        }
+        return withHeadroom;
+    }
+
     /** Returns the subset of the machines that have stoppable tasks of the priority class. */
     List<Machine> withTasksOf(PriorityClass priorityClass, List<Machine> eligible) {
         List<Machine> withTasks = new ArrayList<>();
--- a/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
+++ b/src/main/java/io/sillreel/placement/ScaleOutPlanner.java
@@ -181,7 +181,10 @@
             ActiveJob job, Collection<MachineType> types, long nowMicros, List<ScaleOutProposal> proposals) {
         if (!hasSuitableMachine(job, nowMicros)) {
             CapacityNeed need = new CapacityNeed(job.spec().cpus(), job.spec(), true, true);
-            offers.selectCheapest(types, need, proposals, nowMicros).ifPresent(proposals::add);
+            Optional<ScaleOutProposal> proposal = offers.selectCheapest(types, need, proposals, nowMicros);
+            if (proposal.isPresent()) {
+                proposals.add(proposal.get());
+            }
         }
     }
 
