A faulty job costs no sound machine after a change of the leader

What callers would see: a job that fails everywhere and has failed four times or more is tried by a new leader, and the machine on which it fails first is replaced, although it is sound and others are there.

Cause: a machine is replaced if a job was tried on it alone, four attempts long. The attempts are stored and the machines are not, so under a new leader the attempts of earlier terms counted against one machine.

Change: only attempts that this leader has attributed to the job count.

--- a/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
+++ b/src/main/java/io/sillreel/heartbeat/TaskEndHandler.java
@@ -20,7 +20,7 @@
 public final class TaskEndHandler {
     private static final Logger LOG = LoggerFactory.getLogger(TaskEndHandler.class);
 
-    /** Number of failed attempts of a job after which the machine on which it failed last is replaced. */
+    /** Number of failed attempts of a job in this term after which the machine on which it failed last is replaced. */
     private static final int ATTEMPTS_BEFORE_REPLACEMENT = 4;
 
     private final EventLoop eventLoop;
@@ -186,10 +186,10 @@
 
     /**
      * Replaces a machine on which a job fails again and again if the job was tried on no other, and no task shows that
-     * the machine is sound: the job may have no other machine. This happens at most once for each job.
+     * the machine is sound: the job may have no other machine. This happens at most once for each job in a term.
      */
     private void replaceIfOnlyMachine(Machine machine, ActiveJob job) {
-        boolean isOnlyEvidence = job.failedAttempts() >= ATTEMPTS_BEFORE_REPLACEMENT
+        boolean isOnlyEvidence = job.failures().attributedAttempts() >= ATTEMPTS_BEFORE_REPLACEMENT
                 && job.failures().areAttributedOnlyOn(machine.name());
         if (isOnlyEvidence
                 && !hasLiveTasksOfOthers(machine, job)
--- a/src/main/java/io/sillreel/pipeline/JobFailures.java
+++ b/src/main/java/io/sillreel/pipeline/JobFailures.java
@@ -33,6 +33,7 @@
     private final Map<String, Long> firstStartMicros = new HashMap<>();
 
     private boolean isMachineBlamed;
+    private int attributedAttempts;
 
     /**
      * Records the failure of a task on a machine.
@@ -83,12 +84,19 @@
         refusing.clear();
         firstStartMicros.clear();
         isMachineBlamed = false;
+        attributedAttempts = 0;
     }
 
     /** Attributes all failures that are not attributed yet to the job. */
     public void attributeToJob() {
         attributed.addAll(unresolved.keySet());
         unresolved.clear();
+        attributedAttempts++;
+    }
+
+    /** Returns how many attempts this leader has attributed to the job; those of earlier terms show no machine. */
+    public int attributedAttempts() {
+        return attributedAttempts;
     }
 
     /** True if the job has to be tried with one task at a time. */
--- a/src/test/java/io/sillreel/heartbeat/SuspicionTest.java
+++ b/src/test/java/io/sillreel/heartbeat/SuspicionTest.java
@@ -124,6 +124,26 @@
         assertThat(cluster.cloud().machines().keySet()).containsAll(machines);
     }
 
+    /**
+     * Guards sound machines after a failover: the stored attempts of a faulty job counted against the first of them.
+     */
+    @Test
+    void faultyJobCostsNoSoundMachineAfterFailover() {
+        SimCluster cluster = clusterOf(6);
+        Set<String> machines = startFleet(cluster);
+        cluster.failTasksOf(SECOND);
+        cluster.submit(0, SimCluster.job(SECOND, 1));
+        cluster.runUntil(
+                () -> cluster.poll(0, SECOND).json().path("reason").asText().startsWith("parked"));
+        int formerLeader = cluster.leader();
+        cluster.kill(formerLeader);
+        cluster.runSeconds(5);
+        cluster.restart(formerLeader);
+        cluster.runSeconds(100);
+        assertThat(cluster.cloud().machines().keySet()).containsAll(machines);
+        assertThat(cluster.violations()).isEmpty();
+    }
+
     /** Faulty machines are still found among sound ones, while some jobs are faulty too. */
     @Test
     void findsFaultyMachineBesideFaultyJobs() {
